Set down the shape: modules, core types and one path from caller to target

Seams for what follows are interfaces only: the control log, leases, ownership of targets.

Not there yet: leases, ownership across daemons, limits (admission lets everything through), the lists as replicated state.

--- /dev/null
+++ b/core/src/main/kotlin/org/buckthornhub/control/ControlState.kt
@@ -0,0 +1,13 @@
+package org.buckthornhub.control
+
+import kotlinx.serialization.Serializable
+import org.buckthornhub.group.GroupId
+import org.buckthornhub.group.GroupLeadership
+import org.buckthornhub.organisation.Configuration
+
+/** All that the control quorum has agreed on. */
+@Serializable
+public data class ControlState(
+    val configuration: Configuration = Configuration(),
+    val leaderships: Map<GroupId, GroupLeadership> = emptyMap(),
+)
--- /dev/null
+++ b/core/src/main/kotlin/org/buckthornhub/error/ErrorKind.kt
@@ -0,0 +1,37 @@
+package org.buckthornhub.error
+
+import kotlinx.serialization.Serializable
+
+/** The closed list of errors that callers and operators meet; [ErrorTable] gives the answer to each. */
+@Serializable
+public enum class ErrorKind {
+    MALFORMED_REQUEST,
+    BODY_TOO_LARGE,
+    KEY_MISSING,
+    KEY_UNKNOWN,
+    KEY_WITHDRAWN,
+    GROUP_UNKNOWN,
+    GROUP_NOT_GRANTED,
+    WRITE_NOT_GRANTED,
+    SESSION_INVALID,
+    SESSION_FOREIGN,
+    DEADLINE_EXPIRED,
+    RATE_EXCEEDED,
+    QUEUE_FULL,
+    NO_TARGET,
+    NO_PRIMARY,
+    WRITE_LOST,
+    OUTCOME_UNKNOWN,
+    ANSWER_LOST,
+    ALREADY_RAN,
+    STATEMENT_REJECTED,
+    TRANSACTION_UNKNOWN,
+    TRANSACTION_ABORTED,
+    LEAVING,
+    CONFIGURATION_STALE,
+    LIST_INVALID,
+    LIST_CONFLICT,
+    NO_QUORUM,
+    OPERATOR_REFUSED,
+    INTERNAL,
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/buckthornhub/lease/HeldLeases.kt
@@ -0,0 +1,12 @@
+package org.buckthornhub.lease
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+import org.buckthornhub.group.GroupId
+import org.buckthornhub.group.Term
+
+/** The leases that this daemon holds. */
+public data class HeldLeases(val leases: PersistentMap<GroupId, Lease> = persistentMapOf()) {
+    /** The term in which this daemon may acknowledge writes of [group] at [nowMillis], or null. */
+    public fun termOf(group: GroupId, nowMillis: Long): Term? = leases[group]?.takeIf { nowMillis < it.validUntilMillis }?.term
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/buckthornhub/routing/RoutePolicy.kt
@@ -0,0 +1,10 @@
+package org.buckthornhub.routing
+
+import com.github.michaelbull.result.Result
+import org.buckthornhub.error.ProxyError
+import org.buckthornhub.fleet.FleetView
+
+/** Chooses the target of a request from what this daemon knows; it never blocks. */
+public fun interface RoutePolicy {
+    public fun route(query: RouteQuery, view: FleetView): Result<Route, ProxyError>
+}
--- /dev/null
+++ b/core/src/test/kotlin/org/buckthornhub/proxy/ProxyErrors.kt
@@ -0,0 +1,9 @@
+package org.buckthornhub.proxy
+
+import org.buckthornhub.error.ErrorKind
+import org.buckthornhub.error.ProxyError
+
+/** Errors that the fakes answer. */
+internal object ProxyErrors {
+    val rateExceeded = ProxyError(ErrorKind.RATE_EXCEEDED, "no token")
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/buckthornhub/daemon/DaemonAssembly.kt
@@ -0,0 +1,63 @@
+package org.buckthornhub.daemon
+
+import com.github.michaelbull.result.Ok
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.coroutines.CoroutineScope
+import org.buckthornhub.caller.CallerRoutes
+import org.buckthornhub.clock.SystemClock
+import org.buckthornhub.fleet.AnnounceRoutes
+import org.buckthornhub.fleet.FleetTask
+import org.buckthornhub.fleet.StateSource
+import org.buckthornhub.http.HttpLinks
+import org.buckthornhub.http.HttpServer
+import org.buckthornhub.http.PeerJson
+import org.buckthornhub.limit.Admission
+import org.buckthornhub.limit.AdmitInterceptor
+import org.buckthornhub.organisation.AuthenticateInterceptor
+import org.buckthornhub.organisation.AuthorizeInterceptor
+import org.buckthornhub.organisation.Configuration
+import org.buckthornhub.platform.PlatformRoutes
+import org.buckthornhub.proxy.Proxy
+import org.buckthornhub.routing.ReplicaRoutePolicy
+import org.buckthornhub.routing.RouteInterceptor
+import org.buckthornhub.session.ResumeSessionInterceptor
+import org.buckthornhub.session.SessionCodec
+import org.buckthornhub.settings.Settings
+import org.buckthornhub.target.ExecuteInterceptor
+import org.buckthornhub.target.GatewayTask
+import java.io.File
+
+/** Builds the tasks of one daemon and connects them. */
+internal class DaemonAssembly(private val settings: Settings) {
+    private val clock = SystemClock
+    private val sessionCodec = SessionCodec(settings.fleetSecret)
+
+    /** Starts every task in [scope], then listens. */
+    fun start(scope: CoroutineScope) {
+        val configuration = initialConfiguration()
+        val fleet = FleetTask(clock)
+        val gateway = GatewayTask(fleet, HttpLinks, clock)
+        fleet.start(scope)
+        gateway.start(scope)
+        val proxy = Proxy(interceptors(StateSource { configuration }, fleet, gateway))
+        val routes =
+            CallerRoutes(proxy, sessionCodec, clock, settings.defaultDeadlineMillis).routes() +
+                AnnounceRoutes(fleet).routes() +
+                PlatformRoutes { true }.routes()
+        HttpServer(settings.host, settings.port, routes, settings.maxBodyBytes).start()
+    }
+
+    private fun interceptors(configuration: StateSource<Configuration>, fleet: FleetTask, gateway: GatewayTask) = persistentListOf(
+        AuthenticateInterceptor(configuration),
+        ResumeSessionInterceptor(sessionCodec),
+        AuthorizeInterceptor(configuration),
+        AdmitInterceptor(Admission { _, _, _ -> Ok(0) }),
+        RouteInterceptor(ReplicaRoutePolicy(), fleet, settings.zone, clock),
+        ExecuteInterceptor(gateway),
+    )
+
+    private fun initialConfiguration(): Configuration {
+        val path = settings.initialConfiguration ?: return Configuration()
+        return PeerJson.decodeFromString(Configuration.serializer(), File(path).readText())
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/buckthornhub/daemon/DaemonOptions.kt
@@ -0,0 +1,12 @@
+package org.buckthornhub.daemon
+
+import org.kohsuke.args4j.Option
+
+/** Command line of `buckthornhubd`; args4j fills it. */
+internal class DaemonOptions {
+    @Option(name = "--config", required = true, metaVar = "FILE", usage = "settings file in TOML")
+    var config: String = ""
+
+    @Option(name = "--check", usage = "check the settings and exit")
+    var check: Boolean = false
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/buckthornhub/platform/PlatformRoutes.kt
@@ -0,0 +1,20 @@
+package org.buckthornhub.platform
+
+import io.ktor.http.HttpMethod
+import org.buckthornhub.http.HttpReply
+import org.buckthornhub.http.Route
+
+/** What the platform asks: whether this process lives, and whether the balancer may send it callers. */
+internal class PlatformRoutes(private val isReady: () -> Boolean) {
+    fun routes(): List<Route> = listOf(
+        Route(HttpMethod.Get, "/live") { HttpReply(OK, "{\"live\":true}") },
+        Route(HttpMethod.Get, "/ready") { ready() },
+    )
+
+    private fun ready(): HttpReply = if (isReady()) HttpReply(OK, "{\"ready\":true}") else HttpReply(UNAVAILABLE, "{\"ready\":false}")
+
+    private companion object {
+        const val OK = 200
+        const val UNAVAILABLE = 503
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/buckthornhub/settings/SettingDefinitions.kt
@@ -0,0 +1,44 @@
+package org.buckthornhub.settings
+
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
+
+/** Every setting of the daemon, in the order of the reference in docs/OPERATING.md. */
+public object SettingDefinitions {
+    private const val MAX_PORT = 65_535L
+    private const val MIN_SECRET_LENGTH = 16
+
+    public val ALL: PersistentList<SettingDefinition> =
+        persistentListOf(
+            SettingDefinition("vm", SettingKind.Text, null, "Name of this VM, unique in the fleet."),
+            SettingDefinition("zone", SettingKind.Text, null, "Availability zone of this VM."),
+            SettingDefinition("listen.host", SettingKind.Text, "127.0.0.1", "Address that callers, peers and targets reach."),
+            SettingDefinition("listen.port", SettingKind.Whole(1..MAX_PORT), null, "TCP port of that address."),
+            SettingDefinition(
+                "listen.max_body_bytes",
+                SettingKind.Whole(1_024L..67_108_864L),
+                1_048_576L,
+                "Largest request body, in bytes.",
+            ),
+            SettingDefinition(
+                "fleet.secret",
+                SettingKind.Text,
+                null,
+                "Secret of the fleet, at least $MIN_SECRET_LENGTH characters, the same on every VM.",
+            ),
+            SettingDefinition(
+                "request.default_deadline_ms",
+                SettingKind.Whole(1L..600_000L),
+                5_000L,
+                "Time for a request that names none, in ms.",
+            ),
+            SettingDefinition(
+                "control.initial_configuration",
+                SettingKind.Text,
+                null,
+                "JSON file with the lists and keys of a first start.",
+                isOptional = true,
+            ),
+            SettingDefinition("log.format", SettingKind.Choice(listOf("text", "json")), "text", "Form of the log lines on standard error."),
+        )
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/buckthornhub/settings/Settings.kt
@@ -0,0 +1,17 @@
+package org.buckthornhub.settings
+
+import org.buckthornhub.fleet.VmId
+import org.buckthornhub.fleet.ZoneId
+
+/** The checked settings of one daemon; see docs/OPERATING.md for the TOML keys. */
+public data class Settings(
+    val vm: VmId,
+    val zone: ZoneId,
+    val host: String,
+    val port: Int,
+    val fleetSecret: String,
+    val initialConfiguration: String?,
+    val defaultDeadlineMillis: Long,
+    val maxBodyBytes: Long,
+    val logFormat: LogFormat,
+)
--- /dev/null
+++ b/daemon/src/main/kotlin/org/buckthornhub/settings/SettingsLoader.kt
@@ -0,0 +1,77 @@
+package org.buckthornhub.settings
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.andThen
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentList
+import kotlinx.serialization.SerializationException
+import net.peanuuutz.tomlkt.Toml
+import net.peanuuutz.tomlkt.TomlArray
+import net.peanuuutz.tomlkt.TomlElement
+import net.peanuuutz.tomlkt.TomlLiteral
+import net.peanuuutz.tomlkt.TomlNull
+import net.peanuuutz.tomlkt.TomlTable
+import org.buckthornhub.fleet.VmId
+import org.buckthornhub.fleet.ZoneId
+
+/** Checks the text of a settings file as a whole: the settings, or every fault. */
+public class SettingsLoader {
+    public fun load(toml: String): Result<Settings, PersistentList<SettingFault>> = parse(toml).andThen { check(it) }
+
+    private fun parse(toml: String): Result<Map<String, Any?>, PersistentList<SettingFault>> = try {
+        Ok(flatten("", Toml.parseToTomlTable(toml)))
+    } catch (e: SerializationException) {
+        Err(persistentListOf(SettingFault("(file)", e.message.orEmpty(), "TOML")))
+    }
+
+    private fun flatten(prefix: String, table: TomlTable): Map<String, Any?> = table.entries.fold(emptyMap()) { values, (name, element) ->
+        val key = "$prefix$name"
+        values + if (element is TomlTable) flatten("$key.", element) else mapOf(key to valueOf(element))
+    }
+
+    private fun valueOf(element: TomlElement): Any? = when (element) {
+        is TomlNull -> null
+        is TomlLiteral -> literalOf(element)
+        is TomlArray -> element.map { valueOf(it) }
+        is TomlTable -> element.toString()
+    }
+
+    private fun literalOf(literal: TomlLiteral): Any = when (literal.type) {
+        TomlLiteral.Type.Integer -> literal.content.toLongOrNull() ?: literal.content
+        TomlLiteral.Type.Float -> literal.content.toDouble()
+        TomlLiteral.Type.Boolean -> literal.content.toBoolean()
+        else -> literal.content
+    }
+
+    private fun check(found: Map<String, Any?>): Result<Settings, PersistentList<SettingFault>> {
+        val known = SettingDefinitions.ALL.associateBy { it.key }
+        val unknown = (found.keys - known.keys).map { SettingFault(it, "an unknown key", "one of the settings in docs/OPERATING.md") }
+        val wrong = SettingDefinitions.ALL.mapNotNull { faultOf(it, found) }
+        val faults = (unknown + wrong).toPersistentList()
+        return if (faults.isEmpty()) Ok(settingsOf(ValueReader(found))) else Err(faults)
+    }
+
+    private fun faultOf(definition: SettingDefinition, found: Map<String, Any?>): SettingFault? {
+        if (definition.key !in found) {
+            val isMissing = definition.default == null && !definition.isOptional
+            return if (isMissing) SettingFault(definition.key, "nothing", definition.kind.allowed) else null
+        }
+        val value = found[definition.key]
+        return if (definition.kind.accept(value) == null) SettingFault(definition.key, "$value", definition.kind.allowed) else null
+    }
+
+    private fun settingsOf(values: ValueReader): Settings = Settings(
+        vm = VmId(values.text("vm")),
+        zone = ZoneId(values.text("zone")),
+        host = values.text("listen.host"),
+        port = values.whole("listen.port").toInt(),
+        fleetSecret = values.text("fleet.secret"),
+        initialConfiguration = values.textOrNull("control.initial_configuration"),
+        defaultDeadlineMillis = values.whole("request.default_deadline_ms"),
+        maxBodyBytes = values.whole("listen.max_body_bytes"),
+        logFormat = LogFormat.valueOf(values.text("log.format").uppercase()),
+    )
+}
--- /dev/null
+++ b/runtime/src/main/kotlin/org/buckthornhub/caller/wire/ErrorBody.kt
@@ -0,0 +1,17 @@
+package org.buckthornhub.caller.wire
+
+import kotlinx.serialization.Serializable
+import org.buckthornhub.error.ErrorKind
+import org.buckthornhub.error.Execution
+
+/** The answer to a request that was refused or failed; see docs/OPERATING.md for each kind. */
+@Serializable
+public data class ErrorBody(
+    val kind: ErrorKind,
+    val detail: String,
+    val execution: Execution,
+    val repeatMayHelp: Boolean,
+    val advice: String,
+    val retryAfterMillis: Long? = null,
+    val traceId: String? = null,
+)
--- /dev/null
+++ b/runtime/src/main/kotlin/org/buckthornhub/caller/wire/TransactionBody.kt
@@ -0,0 +1,14 @@
+package org.buckthornhub.caller.wire
+
+import kotlinx.serialization.Serializable
+import org.buckthornhub.group.GroupId
+import org.buckthornhub.statement.RequestId
+
+/** Body of a begin, a commit and a rollback. */
+@Serializable
+public data class TransactionBody(
+    val group: GroupId,
+    val requestId: RequestId,
+    val deadlineMillis: Long? = null,
+    val session: String? = null,
+)
--- /dev/null
+++ b/runtime/src/main/kotlin/org/buckthornhub/http/HttpRequest.kt
@@ -0,0 +1,11 @@
+package org.buckthornhub.http
+
+/** A whole HTTP request as handlers see it; header names are in lower case. */
+public data class HttpRequest(
+    val method: String,
+    val path: String,
+    val pathParts: Map<String, String>,
+    val query: Map<String, String>,
+    val headers: Map<String, String>,
+    val body: String,
+)
--- /dev/null
+++ b/runtime/src/main/kotlin/org/buckthornhub/http/HttpServer.kt
@@ -0,0 +1,86 @@
+package org.buckthornhub.http
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.ktor.http.ContentType
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.engine.EmbeddedServer
+import io.ktor.server.engine.embeddedServer
+import io.ktor.server.netty.Netty
+import io.ktor.server.netty.NettyApplicationEngine
+import io.ktor.server.request.httpMethod
+import io.ktor.server.request.path
+import io.ktor.server.request.receiveChannel
+import io.ktor.server.response.header
+import io.ktor.server.response.respondText
+import io.ktor.server.routing.route
+import io.ktor.server.routing.routing
+import io.ktor.util.toMap
+import io.ktor.utils.io.readRemaining
+import kotlinx.io.readString
+
+/**
+ * An HTTP server on NIO.
+ *
+ * @param host address to listen on
+ * @param maxBodyBytes a larger body gets status 413
+ * @param onFault answers a handler that threw; callers never see a stack trace
+ */
+public class HttpServer(
+    host: String,
+    port: Int,
+    routes: List<Route>,
+    private val maxBodyBytes: Long = DEFAULT_MAX_BODY_BYTES,
+    private val tooLarge: HttpReply = HttpReply(PAYLOAD_TOO_LARGE, "{}"),
+    private val onFault: HttpReply = HttpReply(SERVER_ERROR, "{}"),
+) {
+    private val engine: EmbeddedServer<NettyApplicationEngine, NettyApplicationEngine.Configuration> =
+        embeddedServer(Netty, port = port, host = host) {
+            routing {
+                routes.forEach { route ->
+                    route(route.path, route.method) { handle { answer(call, route.handler) } }
+                }
+            }
+        }
+
+    /** Listens; returns once the port is open. */
+    public fun start() {
+        engine.start(wait = false)
+    }
+
+    /** Takes no new connections, and waits up to [graceMillis] for requests in flight. */
+    public suspend fun stop(graceMillis: Long): Unit = engine.stopSuspend(graceMillis, graceMillis)
+
+    @Suppress("TooGenericExceptionCaught") // The last line of defence: a fault of one request must not end the others.
+    private suspend fun answer(call: ApplicationCall, handler: RouteHandler) {
+        val body = call.receiveChannel().readRemaining(maxBodyBytes + 1).readString()
+        val reply =
+            try {
+                if (body.length > maxBodyBytes) tooLarge else handler.handle(requestOf(call, body))
+            } catch (e: RuntimeException) {
+                logger.error(e) { "handler of ${call.request.path()} failed" }
+                onFault
+            }
+        reply.headers.forEach { (name, value) -> call.response.header(name, value) }
+        val type = reply.headers[CONTENT_TYPE]?.let { ContentType.parse(it) } ?: ContentType.Application.Json
+        call.respondText(reply.body, type, HttpStatusCode.fromValue(reply.status))
+    }
+
+    private fun requestOf(call: ApplicationCall, body: String): HttpRequest = HttpRequest(
+        method = call.request.httpMethod.value,
+        path = call.request.path(),
+        pathParts = call.parameters.toMap().mapValues { it.value.first() },
+        query = call.request.queryParameters.toMap().mapValues { it.value.first() },
+        headers = call.request.headers.toMap().entries.associate { it.key.lowercase() to it.value.first() },
+        body = body,
+    )
+
+    public companion object {
+        /** Largest body that is read unless settings say otherwise. */
+        public const val DEFAULT_MAX_BODY_BYTES: Long = 1_048_576
+        private const val PAYLOAD_TOO_LARGE = 413
+        private const val SERVER_ERROR = 500
+        private const val CONTENT_TYPE = "Content-Type"
+        private val logger = KotlinLogging.logger {}
+    }
+}
--- /dev/null
+++ b/runtime/src/main/kotlin/org/buckthornhub/http/RealHttpLink.kt
@@ -0,0 +1,110 @@
+package org.buckthornhub.http
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import io.ktor.client.HttpClient
+import io.ktor.client.engine.cio.CIO
+import io.ktor.client.engine.cio.endpoint
+import io.ktor.client.network.sockets.ConnectTimeoutException
+import io.ktor.client.request.HttpRequestBuilder
+import io.ktor.client.request.header
+import io.ktor.client.request.request
+import io.ktor.client.request.setBody
+import io.ktor.client.statement.bodyAsText
+import io.ktor.http.ContentType
+import io.ktor.http.HttpMethod
+import io.ktor.http.contentType
+import io.ktor.util.toMap
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.TimeoutCancellationException
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.ensureActive
+import kotlinx.coroutines.withTimeout
+import java.io.IOException
+import java.net.ConnectException
+import java.nio.channels.UnresolvedAddressException
+
+/** A link over TCP with HTTP/1.1 on NIO. */
+internal class RealHttpLink(private val address: String) : HttpLink {
+    private val client =
+        HttpClient(CIO) {
+            expectSuccess = false
+            engine {
+                requestTimeout = 0 // Every request brings its own timeout.
+                maxConnectionsCount = MAX_CONNECTIONS
+                endpoint {
+                    maxConnectionsPerRoute = MAX_CONNECTIONS
+                    connectTimeout = CONNECT_TIMEOUT_MILLIS
+                    connectAttempts = 1
+                    keepAliveTime = KEEP_ALIVE_MILLIS
+                }
+            }
+        }
+
+    override suspend fun post(
+        path: String,
+        body: String,
+        timeoutMillis: Long,
+        headers: Map<String, String>,
+    ): Result<HttpReply, HttpFailure> = send(HttpMethod.Post, path, timeoutMillis, headers) {
+        contentType(ContentType.Application.Json)
+        setBody(body)
+    }
+
+    override suspend fun get(path: String, timeoutMillis: Long, headers: Map<String, String>): Result<HttpReply, HttpFailure> =
+        send(HttpMethod.Get, path, timeoutMillis, headers) {}
+
+    override fun close(): Unit = client.close()
+
+    private suspend fun send(
+        method: HttpMethod,
+        path: String,
+        timeoutMillis: Long,
+        headers: Map<String, String>,
+        configure: HttpRequestBuilder.() -> Unit,
+    ): Result<HttpReply, HttpFailure> = try {
+        withTimeout(timeoutMillis) { Ok(exchange(method, path, headers, configure)) }
+    } catch (e: ConnectException) {
+        Err(HttpFailure(sent = false, detail = "no connection to $address"))
+    } catch (e: ConnectTimeoutException) {
+        Err(HttpFailure(sent = false, detail = "no connection to $address within $CONNECT_TIMEOUT_MILLIS ms"))
+    } catch (e: UnresolvedAddressException) {
+        Err(HttpFailure(sent = false, detail = "address $address can't be resolved"))
+    } catch (e: TimeoutCancellationException) {
+        Err(HttpFailure(sent = true, detail = "no reply from $address within $timeoutMillis ms"))
+    } catch (e: CancellationException) {
+        // The engine cancels a request whose connection was reset; the caller's own cancellation goes on.
+        currentCoroutineContext().ensureActive()
+        Err(HttpFailure(sent = true, detail = "connection to $address was lost: ${e.message}"))
+    } catch (e: IOException) {
+        Err(HttpFailure(sent = true, detail = "connection to $address was lost: ${e.message}"))
+    } catch (e: IllegalStateException) {
+        Err(HttpFailure(sent = true, detail = "no whole reply from $address: ${e.message}"))
+    }
+
+    private suspend fun exchange(
+        method: HttpMethod,
+        path: String,
+        headers: Map<String, String>,
+        configure: HttpRequestBuilder.() -> Unit,
+    ): HttpReply {
+        val response =
+            client.request("http://$address$path") {
+                this.method = method
+                headers.forEach { (name, value) -> header(name, value) }
+                configure()
+            }
+        return HttpReply(
+            status = response.status.value,
+            body = response.bodyAsText(),
+            headers = response.headers.toMap().mapValues { it.value.first() },
+        )
+    }
+
+    private companion object {
+        const val CONNECT_TIMEOUT_MILLIS = 1_000L
+        const val KEEP_ALIVE_MILLIS = 30_000L
+        const val MAX_CONNECTIONS = 1_000
+    }
+}
--- /dev/null
+++ b/standin/src/main/kotlin/org/buckthornhub/standin/instance/Connection.kt
@@ -0,0 +1,19 @@
+package org.buckthornhub.standin.instance
+
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
+
+/**
+ * An open connection.
+ *
+ * @property pending commands of the open transaction; null outside one
+ */
+public data class Connection(
+    val id: String,
+    val pending: PersistentList<Command>? = null,
+) {
+    public val isInTransaction: Boolean get() = pending != null
+
+    /** This connection with a transaction open. */
+    public fun begun(): Connection = copy(pending = persistentListOf())
+}
