Track the target packages that the ignore rule hid

Cause: the ignore rule target/ was meant for build output and also hid the source packages named target, so a clean clone did not build.

--- /dev/null
+++ b/core/src/main/kotlin/org/buckthornhub/target/TargetCall.kt
@@ -0,0 +1,23 @@
+package org.buckthornhub.target
+
+import org.buckthornhub.group.Position
+import org.buckthornhub.organisation.OrganisationId
+import org.buckthornhub.statement.Operation
+import org.buckthornhub.statement.RequestId
+
+/**
+ * One operation for one target. It carries no key.
+ *
+ * @property organisation owner of the request, for fair queues; null on groups open to all
+ * @property position what a read has to see
+ * @property deadlineMillis monotonic time of this process
+ */
+public data class TargetCall(
+    val target: TargetId,
+    val operation: Operation,
+    val requestId: RequestId,
+    val organisation: OrganisationId?,
+    val position: Position,
+    val deadlineMillis: Long,
+    val traceParent: String? = null,
+)
--- /dev/null
+++ b/core/src/main/kotlin/org/buckthornhub/target/TargetEntry.kt
@@ -0,0 +1,30 @@
+package org.buckthornhub.target
+
+import kotlinx.serialization.Serializable
+import org.buckthornhub.fleet.ZoneId
+import org.buckthornhub.group.GroupId
+import org.buckthornhub.group.LogPosition
+import org.buckthornhub.group.Term
+
+/**
+ * One target as it last announced itself.
+ *
+ * @property address `host:port` of the target
+ * @property received last position that the target has stored
+ * @property applied last position that reads on the target see
+ * @property heardMillis local monotonic time of the announcement; 0 before any
+ */
+@Serializable
+public data class TargetEntry(
+    val target: TargetId,
+    val group: GroupId,
+    val zone: ZoneId,
+    val address: String,
+    val role: TargetRole,
+    val term: Term,
+    val received: LogPosition,
+    val applied: LogPosition,
+    val slots: Int,
+    val leaving: Boolean = false,
+    val heardMillis: Long = 0,
+)
--- /dev/null
+++ b/daemon/src/main/kotlin/org/buckthornhub/target/HttpTargetDriver.kt
@@ -0,0 +1,111 @@
+package org.buckthornhub.target
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getOrElse
+import com.github.michaelbull.result.map
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.SerializationException
+import org.buckthornhub.error.ErrorKind
+import org.buckthornhub.error.ProxyError
+import org.buckthornhub.group.LogPosition
+import org.buckthornhub.group.Position
+import org.buckthornhub.group.Term
+import org.buckthornhub.http.HttpFailure
+import org.buckthornhub.http.HttpLink
+import org.buckthornhub.http.HttpReply
+import org.buckthornhub.http.PeerJson
+import org.buckthornhub.statement.Access
+import org.buckthornhub.statement.Answer
+import org.buckthornhub.statement.Operation
+import org.buckthornhub.statement.Statement
+import org.buckthornhub.statement.TransactionId
+import org.buckthornhub.target.wire.ConnectResponse
+import org.buckthornhub.target.wire.ExecuteRequest
+import org.buckthornhub.target.wire.ExecuteResponse
+import org.buckthornhub.target.wire.TargetFault
+import org.buckthornhub.target.wire.WireAction
+
+/** Speaks HTTP with JSON to a stand-in target. */
+internal class HttpTargetDriver(
+    private val target: TargetEntry,
+    private val link: HttpLink,
+) : TargetDriver {
+    override suspend fun connect(timeoutMillis: Long): Result<String, ProxyError> {
+        val reply =
+            link.post("/connections", "{}", timeoutMillis).getOrElse {
+                return Err(ProxyError(ErrorKind.NO_TARGET, it.detail))
+            }
+        return decode(ConnectResponse.serializer(), reply, Access.READ).map { it.connection }
+    }
+
+    override suspend fun execute(connection: String, call: TargetCall, timeoutMillis: Long): Result<Answer, ProxyError> {
+        val request = requestOf(call)
+        val access = if (request.action == WireAction.READ) Access.READ else Access.WRITE
+        val body = PeerJson.encodeToString(ExecuteRequest.serializer(), request)
+        val reply = link.post("/connections/$connection/execute", body, timeoutMillis).getOrElse { return Err(errorOf(it, access)) }
+        val response = decode(ExecuteResponse.serializer(), reply, access).getOrElse { return Err(it) }
+        if (response.requestId != request.requestId) return Err(lost(access, "the target answered another request"))
+        return Ok(answerOf(call, connection, response))
+    }
+
+    override suspend fun disconnect(connection: String) {
+        link.post("/connections/$connection/close", "{}", CLOSE_TIMEOUT_MILLIS)
+    }
+
+    override fun close(): Unit = link.close()
+
+    private fun requestOf(call: TargetCall): ExecuteRequest {
+        val id = call.requestId.value
+        return when (val operation = call.operation) {
+            is Operation.Run -> ExecuteRequest(id, actionOf(operation.statement), operation.statement.text)
+            is Operation.RunInTransaction -> ExecuteRequest(id, actionOf(operation.statement), operation.statement.text)
+            is Operation.Begin -> ExecuteRequest(id, WireAction.BEGIN)
+            is Operation.Commit -> ExecuteRequest(id, WireAction.COMMIT)
+            is Operation.RollBack -> ExecuteRequest(id, WireAction.ROLL_BACK)
+        }
+    }
+
+    private fun actionOf(statement: Statement) = if (statement.access == Access.READ) WireAction.READ else WireAction.WRITE
+
+    private fun answerOf(call: TargetCall, connection: String, response: ExecuteResponse): Answer = Answer(
+        value = response.value,
+        position = Position(Term(response.term), LogPosition(response.position)),
+        target = target.target,
+        fromReplica = target.role == TargetRole.REPLICA,
+        transaction = if (call.operation is Operation.Begin) TransactionId("${target.target}.$connection") else null,
+    )
+
+    private fun <T> decode(serializer: KSerializer<T>, reply: HttpReply, access: Access): Result<T, ProxyError> = try {
+        if (reply.isSuccess) {
+            Ok(PeerJson.decodeFromString(serializer, reply.body))
+        } else {
+            Err(errorOf(PeerJson.decodeFromString(TargetFault.serializer(), reply.body)))
+        }
+    } catch (e: SerializationException) {
+        Err(lost(access, "the answer of ${target.target} is not whole: ${e.message}"))
+    }
+
+    private fun errorOf(fault: TargetFault): ProxyError {
+        val kind =
+            when (fault.code) {
+                TargetFault.Code.NO_FREE_SLOT -> ErrorKind.NO_TARGET
+                TargetFault.Code.NO_SUCH_CONNECTION -> ErrorKind.NO_TARGET
+                TargetFault.Code.NOT_PRIMARY, TargetFault.Code.STALE_TERM -> ErrorKind.NO_PRIMARY
+                TargetFault.Code.STATEMENT_INVALID -> ErrorKind.STATEMENT_REJECTED
+                TargetFault.Code.TRANSACTION_STATE -> ErrorKind.TRANSACTION_ABORTED
+            }
+        return ProxyError(kind, fault.detail)
+    }
+
+    private fun errorOf(failure: HttpFailure, access: Access): ProxyError =
+        if (failure.sent) lost(access, failure.detail) else ProxyError(ErrorKind.NO_TARGET, failure.detail)
+
+    private fun lost(access: Access, detail: String): ProxyError =
+        ProxyError(if (access == Access.READ) ErrorKind.ANSWER_LOST else ErrorKind.OUTCOME_UNKNOWN, detail)
+
+    private companion object {
+        const val CLOSE_TIMEOUT_MILLIS = 1_000L
+    }
+}
