Add the load tool with its history checker, the faults of the stand-in, and quickstart

Weighed: replication between instances over HTTP or over mailboxes. All instances of a group run in one program, so mailboxes with a settable delay give the same orders of events with less code. Replicas find a diverged tail by bisection over terms, because equal terms at a position mean equal logs up to it; a protocol that walks back entry by entry was ruled out. The checker knows only histories and logs, so that a fault of the proxy can't hide in it.

Change: stand-in with lags, catch-up, follow orders, idle limits of connections, faults and a port that gives logs also of killed instances; load module with histories, checks, figures and a page of plots; "buckthornhub load"; the script quickstart.

--- a/cli/src/main/kotlin/org/buckthornhub/cli/CommandLine.kt
+++ b/cli/src/main/kotlin/org/buckthornhub/cli/CommandLine.kt
@@ -1,5 +1,6 @@
 package org.buckthornhub.cli
 
+import org.buckthornhub.cli.load.LoadCommand
 import org.buckthornhub.cli.statement.StatementCommand
 import org.kohsuke.args4j.Argument
 import org.kohsuke.args4j.spi.SubCommand
@@ -8,7 +9,10 @@
 
 /** The command line of `buckthornhub`. */
 internal class CommandLine {
-    @Argument(required = true, metaVar = "COMMAND", handler = SubCommandHandler::class, usage = "statement")
-    @SubCommands(SubCommand(name = "statement", impl = StatementCommand::class))
+    @Argument(required = true, metaVar = "COMMAND", handler = SubCommandHandler::class, usage = "statement, load")
+    @SubCommands(
+        SubCommand(name = "statement", impl = StatementCommand::class),
+        SubCommand(name = "load", impl = LoadCommand::class),
+    )
     var command: Command? = null
 }
--- a/daemon/src/main/kotlin/org/buckthornhub/target/HttpTargetDriver.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/target/HttpTargetDriver.kt
@@ -93,7 +93,7 @@
                 TargetFault.Code.NO_FREE_SLOT -> ErrorKind.NO_TARGET
                 TargetFault.Code.NO_SUCH_CONNECTION -> ErrorKind.NO_TARGET
                 TargetFault.Code.NOT_PRIMARY, TargetFault.Code.STALE_TERM -> ErrorKind.NO_PRIMARY
-                TargetFault.Code.STATEMENT_INVALID -> ErrorKind.STATEMENT_REJECTED
+                TargetFault.Code.STATEMENT_INVALID, TargetFault.Code.REJECTED -> ErrorKind.STATEMENT_REJECTED
                 TargetFault.Code.TRANSACTION_STATE -> ErrorKind.TRANSACTION_ABORTED
             }
         return ProxyError(kind, fault.detail)
--- /dev/null
+++ b/load/src/main/kotlin/org/buckthornhub/load/check/Findings.kt
@@ -0,0 +1,34 @@
+package org.buckthornhub.load.check
+
+/** The broken promises of a run, by sort. */
+public data class Findings(
+    val readYourWrites: List<Violation>,
+    val lostWrites: List<Violation>,
+    val doubledWrites: List<Violation>,
+    val misdirectedAnswers: List<Violation>,
+    val wrongfulRefusals: List<Violation>,
+) {
+    /** True if no answer was wrong and no write was lost or doubled. */
+    public val isCorrect: Boolean
+        get() = readYourWrites.isEmpty() && lostWrites.isEmpty() && doubledWrites.isEmpty() && misdirectedAnswers.isEmpty()
+
+    /** Every sort with its violations, for people. */
+    public fun bySort(): Map<String, List<Violation>> = mapOf(
+        "reads that miss an own write" to readYourWrites,
+        "lost writes" to lostWrites,
+        "doubled writes" to doubledWrites,
+        "misdirected answers" to misdirectedAnswers,
+        "wrongful refusals" to wrongfulRefusals,
+    )
+
+    public companion object {
+        /** Runs every check on [evidence]. */
+        public fun of(evidence: Evidence): Findings = Findings(
+            readYourWrites = ReadYourWritesCheck().violations(evidence),
+            lostWrites = LostWritesCheck().violations(evidence),
+            doubledWrites = DoubledWritesCheck().violations(evidence),
+            misdirectedAnswers = MisdirectedAnswersCheck().violations(evidence),
+            wrongfulRefusals = WrongfulRefusalsCheck().violations(evidence),
+        )
+    }
+}
--- a/runtime/src/main/kotlin/org/buckthornhub/target/wire/Announcement.kt
+++ b/runtime/src/main/kotlin/org/buckthornhub/target/wire/Announcement.kt
@@ -22,6 +22,7 @@
     val applied: LogPosition,
     val slots: Int,
     val leaving: Boolean = false,
+    val connectionsOpen: Int = 0,
 ) {
     /** The entry of the fleet's view, heard at [nowMillis]. */
     public fun toEntry(nowMillis: Long): TargetEntry =
--- a/runtime/src/main/kotlin/org/buckthornhub/target/wire/TargetFault.kt
+++ b/runtime/src/main/kotlin/org/buckthornhub/target/wire/TargetFault.kt
@@ -16,6 +16,7 @@
         NOT_PRIMARY,
         STALE_TERM,
         STATEMENT_INVALID,
+        REJECTED,
         TRANSACTION_STATE,
     }
 }
--- a/standin/src/main/kotlin/org/buckthornhub/standin/Main.kt
+++ b/standin/src/main/kotlin/org/buckthornhub/standin/Main.kt
@@ -24,7 +24,7 @@
     }
     runBlocking {
         coroutineScope {
-            GroupAssembly(options).start(this)
+            GroupAssembly(options, this).start()
             awaitCancellation()
         }
     }
--- a/standin/src/main/kotlin/org/buckthornhub/standin/instance/AnnounceTask.kt
+++ b/standin/src/main/kotlin/org/buckthornhub/standin/instance/AnnounceTask.kt
@@ -1,41 +1,52 @@
 package org.buckthornhub.standin.instance
 
 import kotlinx.collections.immutable.PersistentList
-import kotlinx.collections.immutable.toPersistentList
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.toPersistentMap
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import org.buckthornhub.fleet.ZoneId
 import org.buckthornhub.http.HttpLink
 import org.buckthornhub.http.PeerJson
 import org.buckthornhub.target.wire.Announcement
 import org.buckthornhub.task.Task
 import org.buckthornhub.task.startTicker
 
-/** Tells the daemons at [addresses] about one instance, again and again; it owns the links to them. */
-public class AnnounceTask(
+/** Tells the [daemons] about one instance, again and again; it owns the links to them. */
+internal class AnnounceTask(
     name: String,
-    addresses: List<String>,
+    daemons: PersistentList<DaemonAddress>,
     links: HttpLink.Factory,
     private val announcement: () -> Announcement,
+    private val delayMillisTo: (ZoneId?) -> Long?,
 ) : Task<AnnounceTask.Tick>(name, capacity = 1) {
-    private val daemons: PersistentList<HttpLink> = addresses.map { links.open(it) }.toPersistentList()
+    private val daemonLinks: PersistentMap<DaemonAddress, HttpLink> =
+        daemons.associateWith { links.open(it.address) }.toPersistentMap()
+    private lateinit var scope: CoroutineScope
 
     /** Time to announce. */
-    public data object Tick
+    data object Tick
 
     override suspend fun onStart(scope: CoroutineScope) {
+        this.scope = scope
         scope.startTicker(this, PERIOD_MILLIS, Tick)
     }
 
     override suspend fun handle(message: Tick) {
         val body = PeerJson.encodeToString(Announcement.serializer(), announcement())
-        coroutineScope {
-            daemons.forEach { launch { it.post("/targets/announce", body, TIMEOUT_MILLIS) } }
+        daemonLinks.forEach { (daemon, link) ->
+            val delayMillis = delayMillisTo(daemon.zone) ?: return@forEach
+            // A daemon that does not answer must not delay the news for the others.
+            scope.launch {
+                delay(delayMillis)
+                link.post("/targets/announce", body, TIMEOUT_MILLIS)
+            }
         }
     }
 
     override fun onEnd() {
-        daemons.forEach { it.close() }
+        daemonLinks.values.forEach { it.close() }
     }
 
     private companion object {
--- a/standin/src/main/kotlin/org/buckthornhub/standin/instance/Command.kt
+++ b/standin/src/main/kotlin/org/buckthornhub/standin/instance/Command.kt
@@ -10,20 +10,37 @@
     /** The key it concerns. */
     public val key: String
 
+    /** The statement as a caller writes it. */
+    public val text: String
+
     /** `get KEY`: the value, or nothing. */
-    public data class Get(override val key: String) : Command
+    public data class Get(override val key: String) : Command {
+        override val text: String get() = "get $key"
+    }
 
     /** `put KEY VALUE`: sets the value. */
     public data class Put(
         override val key: String,
         val value: String,
-    ) : Command
+    ) : Command {
+        override val text: String get() = "put $key $value"
+    }
+
+    /** `insert KEY VALUE`: sets the value, and is rejected if the key exists. */
+    public data class Insert(
+        override val key: String,
+        val value: String,
+    ) : Command {
+        override val text: String get() = "insert $key $value"
+    }
 
     /** `append KEY VALUE`: adds the value to a comma-separated list. */
     public data class Append(
         override val key: String,
         val value: String,
-    ) : Command
+    ) : Command {
+        override val text: String get() = "append $key $value"
+    }
 
     public companion object {
         private const val MAX_WORDS = 3
@@ -36,12 +53,17 @@
             return when (words[0]) {
                 "get" -> if (value == null) Ok(Get(key)) else invalid(text)
                 "put" -> if (value != null) Ok(Put(key, value)) else invalid(text)
+                "insert" -> if (value != null) Ok(Insert(key, value)) else invalid(text)
                 "append" -> if (value != null) Ok(Append(key, value)) else invalid(text)
                 else -> invalid(text)
             }
         }
 
-        private fun invalid(text: String) =
-            Err(TargetFault(TargetFault.Code.STATEMENT_INVALID, "not one of get KEY, put KEY VALUE, append KEY VALUE: $text"))
+        private fun invalid(text: String) = Err(
+            TargetFault(
+                TargetFault.Code.STATEMENT_INVALID,
+                "not one of get KEY, put KEY VALUE, insert KEY VALUE, append KEY VALUE: $text",
+            ),
+        )
     }
 }
--- a/standin/src/main/kotlin/org/buckthornhub/standin/instance/Connection.kt
+++ b/standin/src/main/kotlin/org/buckthornhub/standin/instance/Connection.kt
@@ -6,12 +6,16 @@
 /**
  * An open connection.
  *
+ * @property usedMillis when the last request came on it
  * @property pending commands of the open transaction; null outside one
  */
 public data class Connection(
-    val id: String,
+    val number: Long,
+    val usedMillis: Long,
     val pending: PersistentList<Command>? = null,
 ) {
+    public val id: String get() = "c$number"
+
     public val isInTransaction: Boolean get() = pending != null
 
     /** This connection with a transaction open. */
--- a/standin/src/main/kotlin/org/buckthornhub/standin/instance/InstanceEffect.kt
+++ b/standin/src/main/kotlin/org/buckthornhub/standin/instance/InstanceEffect.kt
@@ -1,9 +1,7 @@
 package org.buckthornhub.standin.instance
 
-import kotlinx.collections.immutable.PersistentList
 import kotlinx.coroutines.CompletableDeferred
-import org.buckthornhub.group.LogPosition
-import org.buckthornhub.group.Term
+import org.buckthornhub.target.TargetId
 
 /** What the task of an instance carries out. */
 public sealed interface InstanceEffect {
@@ -13,10 +11,15 @@
         val value: T,
     ) : InstanceEffect
 
-    /** Sends new entries to the other instances of the group. */
-    public data class SendEntries(
-        val term: Term,
-        val after: LogPosition,
-        val entries: PersistentList<LogEntry>,
+    /** Sends [message] to the instance [to], or to all others of the group if it is null. */
+    public data class Send(
+        val to: TargetId?,
+        val message: InstanceMessage,
     ) : InstanceEffect
+
+    /** Opens or closes the port. */
+    public data class Listen(val open: Boolean) : InstanceEffect
+
+    /** Logs that [count] entries of older terms were thrown away. */
+    public data class Discarded(val count: Int) : InstanceEffect
 }
--- a/standin/src/main/kotlin/org/buckthornhub/standin/instance/InstanceRoutes.kt
+++ b/standin/src/main/kotlin/org/buckthornhub/standin/instance/InstanceRoutes.kt
@@ -1,84 +1,85 @@
 package org.buckthornhub.standin.instance
 
-import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.map
-import com.github.michaelbull.result.mapBoth
 import io.ktor.http.HttpMethod
-import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.delay
-import kotlinx.serialization.KSerializer
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.builtins.serializer
-import kotlinx.serialization.serializer
+import org.buckthornhub.group.GroupId
 import org.buckthornhub.http.HttpReply
 import org.buckthornhub.http.HttpRequest
-import org.buckthornhub.http.PeerJson
 import org.buckthornhub.http.Route
+import org.buckthornhub.standin.network.NetworkGate
+import org.buckthornhub.target.TargetId
 import org.buckthornhub.target.wire.Announcement
 import org.buckthornhub.target.wire.ConnectResponse
 import org.buckthornhub.target.wire.ExecuteRequest
 import org.buckthornhub.target.wire.ExecuteResponse
+import org.buckthornhub.target.wire.FollowRequest
 import org.buckthornhub.target.wire.PromoteRequest
-import org.buckthornhub.target.wire.TargetFault
 
-/** The HTTP interface of one instance. */
+/**
+ * The HTTP interface of one instance towards the daemons.
+ *
+ * @param targetAt the instance at an address of the group; an unknown address follows nobody until a primary speaks
+ */
 internal class InstanceRoutes(
-    private val task: InstanceTask,
+    private val group: GroupId,
+    private val address: String,
     private val connectMillis: Long,
-    private val announcement: () -> Announcement,
+    private val client: InstanceClient,
+    private val targetAt: (String) -> TargetId,
 ) {
     fun routes(): List<Route> = listOf(
-        Route(HttpMethod.Get, "/status") { HttpReply(STATUS_OK, PeerJson.encodeToString(Announcement.serializer(), announcement())) },
+        Route(HttpMethod.Get, "/status") { client.reply(client.current().announcement(group, address), Announcement.serializer()) },
         Route(HttpMethod.Post, "/connections") { connect() },
         Route(HttpMethod.Post, "/connections/{id}/execute") { execute(it) },
+        Route(HttpMethod.Post, "/connections/{id}/ping") { ping(it) },
         Route(HttpMethod.Post, "/connections/{id}/close") { close(it) },
         Route(HttpMethod.Post, "/promote") { promote(it) },
+        Route(HttpMethod.Post, "/follow") { follow(it) },
     )
 
     private suspend fun connect(): HttpReply {
         delay(connectMillis)
-        val result = ask { InstanceMessage.Connect(it) }
-        return reply(result.map { ConnectResponse(it) }, ConnectResponse.serializer())
+        val result = client.ask { InstanceMessage.Connect(it) }
+        return client.reply(result.map { ConnectResponse(it) }, ConnectResponse.serializer())
     }
 
-    private suspend fun execute(request: HttpRequest): HttpReply = withBody(request, ExecuteRequest.serializer()) { body ->
-        reply(ask { InstanceMessage.Execute(request.pathParts.getValue("id"), body, it) }, ExecuteResponse.serializer())
+    private suspend fun execute(request: HttpRequest): HttpReply = client.withBody(request, ExecuteRequest.serializer()) { body ->
+        val connection = connectionOf(request)
+        if (isSilent(connection)) return@withBody NetworkGate.noAnswer()
+        delay(client.current().faults.statementMillis)
+        val result = client.ask { InstanceMessage.Execute(connection, body, it) }
+        delay(client.current().faults.answerMillis)
+        client.reply(result, ExecuteResponse.serializer())
     }
 
-    private fun close(request: HttpRequest): HttpReply {
-        task.offer(InstanceMessage.Disconnect(request.pathParts.getValue("id")))
-        return HttpReply(STATUS_OK, "{}")
+    private suspend fun ping(request: HttpRequest): HttpReply {
+        val connection = connectionOf(request)
+        if (isSilent(connection)) return NetworkGate.noAnswer()
+        return client.reply(client.ask { InstanceMessage.Touch(connection, it) }, Unit.serializer())
     }
 
-    private suspend fun promote(request: HttpRequest): HttpReply = withBody(request, PromoteRequest.serializer()) { body ->
-        reply(ask { InstanceMessage.Promote(body.term, it) }, Unit.serializer())
+    private suspend fun close(request: HttpRequest): HttpReply {
+        val connection = connectionOf(request)
+        if (isSilent(connection)) return NetworkGate.noAnswer()
+        client.tell(InstanceMessage.Disconnect(connection))
+        return client.reply(Unit, Unit.serializer())
     }
 
-    private suspend fun <T> ask(message: (CompletableDeferred<Result<T, TargetFault>>) -> InstanceMessage): Result<T, TargetFault> {
-        val answer = CompletableDeferred<Result<T, TargetFault>>()
-        check(task.offer(message(answer))) { "the mailbox of ${task.name} is full" }
-        return answer.await()
+    private suspend fun promote(request: HttpRequest): HttpReply = client.withBody(request, PromoteRequest.serializer()) { body ->
+        client.reply(client.ask { InstanceMessage.Promote(body.term, it) }, Unit.serializer())
     }
 
-    private suspend fun <T> withBody(request: HttpRequest, serializer: KSerializer<T>, action: suspend (T) -> HttpReply): HttpReply {
-        val body =
-            try {
-                PeerJson.decodeFromString(serializer, request.body)
-            } catch (e: SerializationException) {
-                return faultReply(TargetFault(TargetFault.Code.STATEMENT_INVALID, "the body is not valid: ${e.message}"))
-            }
-        return action(body)
+    private suspend fun follow(request: HttpRequest): HttpReply = client.withBody(request, FollowRequest.serializer()) { body ->
+        client.reply(client.ask { InstanceMessage.Follow(body.term, targetAt(body.primaryAddress), it) }, Unit.serializer())
     }
 
-    private fun <T> reply(result: Result<T, TargetFault>, serializer: KSerializer<T>): HttpReply = result.mapBoth(
-        success = { HttpReply(STATUS_OK, PeerJson.encodeToString(serializer, it)) },
-        failure = { faultReply(it) },
-    )
-
-    private fun faultReply(fault: TargetFault) = HttpReply(STATUS_CONFLICT, PeerJson.encodeToString(TargetFault.serializer(), fault))
+    private fun connectionOf(request: HttpRequest): String = request.pathParts.getValue("id")
 
-    private companion object {
-        const val STATUS_OK = 200
-        const val STATUS_CONFLICT = 409
+    private fun isSilent(connection: String): Boolean {
+        val state = client.current()
+        val number = state.connections[connection]?.number ?: return false
+        return number < state.faults.silentConnectionsBelow
     }
 }
--- a/standin/src/main/kotlin/org/buckthornhub/standin/instance/InstanceState.kt
+++ b/standin/src/main/kotlin/org/buckthornhub/standin/instance/InstanceState.kt
@@ -4,28 +4,54 @@
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
+import org.buckthornhub.fleet.ZoneId
 import org.buckthornhub.group.LogPosition
 import org.buckthornhub.group.Term
+import org.buckthornhub.standin.fault.Faults
+import org.buckthornhub.target.TargetId
 import org.buckthornhub.target.TargetRole
+import org.buckthornhub.target.wire.ExecuteResponse
 
-/** All that one instance holds. [applied] trails the end of [log] by the replication lag. */
+/**
+ * All that one instance holds. [applied] trails the end of [log] by the lag of applying.
+ *
+ * @property arriving entries that a lag of receiving holds back
+ * @property discarded entries that a newer primary did not have
+ * @property lastResponse answer of the latest request, for the fault of crossed answers
+ */
 public data class InstanceState(
+    val target: TargetId,
+    val zone: ZoneId,
     val role: TargetRole,
     val term: Term,
+    val settings: InstanceSettings = InstanceSettings(),
+    val receiveLagMillis: Long = settings.receiveLagMillis,
+    val applyLagMillis: Long = settings.applyLagMillis,
+    val faults: Faults = Faults(),
     val log: PersistentList<LogEntry> = persistentListOf(),
     val applied: LogPosition = LogPosition.START,
     val data: PersistentMap<String, String> = persistentMapOf(),
     val connections: PersistentMap<String, Connection> = persistentMapOf(),
     val nextConnection: Long = 1,
-    val slots: Int,
-    val leaving: Boolean = false,
+    val arriving: PersistentList<Arrival> = persistentListOf(),
+    val pendingApplies: PersistentList<PendingApply> = persistentListOf(),
+    val discarded: PersistentList<LogEntry> = persistentListOf(),
+    val lastResponse: ExecuteResponse? = null,
 ) {
     public val received: LogPosition get() = log.lastOrNull()?.position ?: LogPosition.START
 
+    /** The term of the entry at [position], or null if it is not in the log. */
+    public fun termAt(position: LogPosition): Term? =
+        if (position == LogPosition.START) Term.NONE else log.getOrNull(position.value.toInt() - 1)?.term
+
     /** This state with every received entry up to [position] applied. */
     public fun appliedUpTo(position: LogPosition): InstanceState {
+        if (position <= applied) return this
         val due = log.subList(applied.value.toInt(), minOf(position.value, received.value).toInt())
         val newData = due.flatMap { it.commands }.fold(data) { values, command -> values.after(command) }
         return copy(data = newData, applied = due.lastOrNull()?.position ?: applied)
     }
+
+    /** This state with [connection] in place of its older version. */
+    internal fun with(connection: Connection): InstanceState = copy(connections = connections.put(connection.id, connection))
 }
--- a/standin/src/main/kotlin/org/buckthornhub/standin/instance/InstanceTask.kt
+++ b/standin/src/main/kotlin/org/buckthornhub/standin/instance/InstanceTask.kt
@@ -1,26 +1,42 @@
 package org.buckthornhub.standin.instance
 
-import kotlinx.collections.immutable.PersistentList
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CoroutineScope
 import org.buckthornhub.clock.Clock
+import org.buckthornhub.standin.network.Peers
 import org.buckthornhub.task.DeciderTask
 import org.buckthornhub.task.Mailbox
+import org.buckthornhub.task.startTicker
 
-/** Runs one instance; [siblings] gives the mailboxes of the other instances of its group. */
+/** Runs one instance; [listener] opens its port on true and closes it on false. */
 public class InstanceTask(
-    name: String,
     initial: InstanceState,
     clock: Clock,
-    private val siblings: () -> PersistentList<Mailbox<InstanceMessage>>,
-) : DeciderTask<InstanceState, InstanceMessage, InstanceEffect>(name, InstanceDecider(), initial, clock) {
+    private val peers: Peers,
+    private val listener: Mailbox<Boolean>,
+) : DeciderTask<InstanceState, InstanceMessage, InstanceEffect>(initial.target.value, InstanceDecider(), initial, clock) {
+    override suspend fun onStart(scope: CoroutineScope) {
+        scope.startTicker(this, TICK_MILLIS, InstanceMessage.Tick)
+        scope.startTicker(this, HEARTBEAT_MILLIS, InstanceMessage.Heartbeat)
+    }
+
     override suspend fun carryOut(effect: InstanceEffect) {
         when (effect) {
             is InstanceEffect.Answer<*> -> complete(effect)
-            is InstanceEffect.SendEntries ->
-                siblings().forEach { it.offer(InstanceMessage.Replicate(effect.term, effect.after, effect.entries)) }
+            is InstanceEffect.Send -> peers.send(effect.to, effect.message)
+            is InstanceEffect.Listen -> listener.offer(effect.open)
+            is InstanceEffect.Discarded ->
+                logger.warn { "$name threw away ${effect.count} entries that the primary of the newer term does not have" }
         }
     }
 
     private fun <T> complete(effect: InstanceEffect.Answer<T>) {
         effect.reply.complete(effect.value)
     }
+
+    private companion object {
+        const val TICK_MILLIS = 5L
+        const val HEARTBEAT_MILLIS = 100L
+        val logger = KotlinLogging.logger {}
+    }
 }
--- /dev/null
+++ b/standin/src/main/kotlin/org/buckthornhub/standin/network/ListenerTask.kt
@@ -0,0 +1,24 @@
+package org.buckthornhub.standin.network
+
+import org.buckthornhub.http.HttpServer
+import org.buckthornhub.task.Task
+
+/** Owns the server of one instance; a killed instance has none. */
+internal class ListenerTask(
+    name: String,
+    private val newServer: () -> HttpServer,
+) : Task<Boolean>(name) {
+    private var server: HttpServer? = null
+
+    /** True opens the port, false closes it with every connection. */
+    override suspend fun handle(message: Boolean) {
+        val open = server
+        when {
+            message && open == null -> server = newServer().also { it.start() }
+            !message && open != null -> {
+                server = null
+                open.stop(graceMillis = 0)
+            }
+        }
+    }
+}
