Keep the fleet's membership and targets by probes between daemons

Cause: each daemon knew only the targets that announced themselves to it, and no other daemon. Weighed: a heartbeat to every daemon (grows with the square of the fleet); membership in the replicated log (a zone that is cut off could not move ownership); probes with suspicion and incarnations, after SWIM. Chosen: the last. Change: FleetDecider in core probes one or two daemons of the own zone a period and one of another zone every fourth, asks relays before it suspects, and spreads changes on the probes; two targets and one daemon are repeated in each message, so that a lost change comes round. Targets are compared by term, then by age, never by the clocks of two VMs. The decider took over from the one that kept announcements only; FleetTask publishes the same FleetView.

--- a/daemon/src/main/kotlin/org/buckthornhub/daemon/DaemonAssembly.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/daemon/DaemonAssembly.kt
@@ -5,8 +5,8 @@
 import kotlinx.coroutines.CoroutineScope
 import org.buckthornhub.caller.CallerRoutes
 import org.buckthornhub.clock.SystemClock
-import org.buckthornhub.fleet.AnnounceRoutes
-import org.buckthornhub.fleet.FleetTask
+import org.buckthornhub.fleet.FleetAssembly
+import org.buckthornhub.fleet.FleetView
 import org.buckthornhub.fleet.StateSource
 import org.buckthornhub.http.HttpLinks
 import org.buckthornhub.http.HttpServer
@@ -16,6 +16,7 @@
 import org.buckthornhub.organisation.AuthenticateInterceptor
 import org.buckthornhub.organisation.AuthorizeInterceptor
 import org.buckthornhub.organisation.Configuration
+import org.buckthornhub.peer.PeerAuthority
 import org.buckthornhub.platform.PlatformRoutes
 import org.buckthornhub.proxy.Proxy
 import org.buckthornhub.routing.ReplicaRoutePolicy
@@ -35,26 +36,27 @@
     /** Starts every task in [scope], then listens. */
     fun start(scope: CoroutineScope) {
         val configuration = initialConfiguration()
-        val fleet = FleetTask(clock)
-        val gateway = GatewayTask(fleet, HttpLinks, clock)
+        val fleet = FleetAssembly(settings, PeerAuthority(settings.fleetSecret), HttpLinks, clock)
+        val gateway = GatewayTask(fleet.view, HttpLinks, clock)
         fleet.start(scope)
         gateway.start(scope)
-        val proxy = Proxy(interceptors(StateSource { configuration }, fleet, gateway))
+        val proxy = Proxy(interceptors(StateSource { configuration }, fleet.view, gateway))
         val routes =
             CallerRoutes(proxy, sessionCodec, clock, settings.defaultDeadlineMillis).routes() +
-                AnnounceRoutes(fleet).routes() +
+                fleet.routes +
                 PlatformRoutes { true }.routes()
         HttpServer(settings.host, settings.port, routes, settings.maxBodyBytes).start()
     }
 
-    private fun interceptors(configuration: StateSource<Configuration>, fleet: FleetTask, gateway: GatewayTask) = persistentListOf(
-        AuthenticateInterceptor(configuration),
-        ResumeSessionInterceptor(sessionCodec),
-        AuthorizeInterceptor(configuration),
-        AdmitInterceptor(Admission { _, _, _ -> Ok(0) }),
-        RouteInterceptor(ReplicaRoutePolicy(), fleet, settings.zone, clock),
-        ExecuteInterceptor(gateway),
-    )
+    private fun interceptors(configuration: StateSource<Configuration>, fleet: StateSource<FleetView>, gateway: GatewayTask) =
+        persistentListOf(
+            AuthenticateInterceptor(configuration),
+            ResumeSessionInterceptor(sessionCodec),
+            AuthorizeInterceptor(configuration),
+            AdmitInterceptor(Admission { _, _, _ -> Ok(0) }),
+            RouteInterceptor(ReplicaRoutePolicy(), fleet, settings.zone, clock),
+            ExecuteInterceptor(gateway),
+        )
 
     private fun initialConfiguration(): Configuration {
         val path = settings.initialConfiguration ?: return Configuration()
--- a/daemon/src/main/kotlin/org/buckthornhub/fleet/AnnounceRoutes.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/fleet/AnnounceRoutes.kt
@@ -23,7 +23,7 @@
             } catch (e: SerializationException) {
                 return errorReply(ProxyError(ErrorKind.MALFORMED_REQUEST, "not an announcement: ${e.message}"))
             }
-        fleet.offer(FleetMessage.Announced(announcement))
+        fleet.offer(FleetMessage.Announced(announcement.toEntry(nowMillis = 0)))
         return HttpReply(status = 200, body = "{}")
     }
 }
--- a/daemon/src/main/kotlin/org/buckthornhub/settings/SettingDefinitions.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/settings/SettingDefinitions.kt
@@ -26,6 +26,12 @@
                 null,
                 "Secret of the fleet, at least $MIN_SECRET_LENGTH characters, the same on every VM.",
             ),
+            SettingDefinition(
+                "fleet.seeds",
+                SettingKind.Texts,
+                emptyList<String>(),
+                "Addresses, host:port, of daemons that this one asks when it knows no other; at least one in each zone.",
+            ),
             SettingDefinition(
                 "request.default_deadline_ms",
                 SettingKind.Whole(1L..600_000L),
--- a/daemon/src/main/kotlin/org/buckthornhub/settings/Settings.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/settings/Settings.kt
@@ -14,4 +14,5 @@
     val defaultDeadlineMillis: Long,
     val maxBodyBytes: Long,
     val logFormat: LogFormat,
+    val fleetSeeds: List<String> = emptyList(),
 )
--- a/daemon/src/main/kotlin/org/buckthornhub/settings/SettingsLoader.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/settings/SettingsLoader.kt
@@ -73,5 +73,6 @@
         defaultDeadlineMillis = values.whole("request.default_deadline_ms"),
         maxBodyBytes = values.whole("listen.max_body_bytes"),
         logFormat = LogFormat.valueOf(values.text("log.format").uppercase()),
+        fleetSeeds = values.texts("fleet.seeds"),
     )
 }
