--- a/core/src/main/kotlin/org/buckthornhub/lease/HeldLeases.kt
+++ b/core/src/main/kotlin/org/buckthornhub/lease/HeldLeases.kt
@@ -9,4 +9,8 @@
 public data class HeldLeases(val leases: PersistentMap<GroupId, Lease> = persistentMapOf()) {
     /** The term in which this daemon may acknowledge writes of [group] at [nowMillis], or null. */
     public fun termOf(group: GroupId, nowMillis: Long): Term? = leases[group]?.takeIf { nowMillis < it.validUntilMillis }?.term
+
+    /** The term in which a new write of [group] may start at [nowMillis], or null. */
+    public fun termForNewWrite(group: GroupId, nowMillis: Long): Term? =
+        termOf(group, nowMillis)?.takeUnless { leases.getValue(group).isDraining }
 }
