Give every target one owner that decides over slots, queue and writes

Cause: the task of a target opened connections by itself in every daemon, acknowledged whatever a primary answered, and knew no deadline in its queue. Weighed: a pool in each daemon (560 pools for 3 slots), slots leased among daemons (a message per borrowed slot), one owner per target (one hop more for most calls). One owner keeps slots, queue, positions and the lease in one place. Change: OwnerDecider in core with the slot pool, a fair queue and a FIFO baseline, pinned transactions with idle and total limits, writes acknowledged only under the lease and once a second instance has reported the position, and a ledger of requests that may not be repeated.

--- a/core/src/main/kotlin/org/buckthornhub/error/ErrorKind.kt
+++ b/core/src/main/kotlin/org/buckthornhub/error/ErrorKind.kt
@@ -20,6 +20,7 @@
     QUEUE_FULL,
     NO_TARGET,
     NO_PRIMARY,
+    REPLICA_BEHIND,
     WRITE_LOST,
     OUTCOME_UNKNOWN,
     ANSWER_LOST,
--- a/core/src/main/kotlin/org/buckthornhub/error/ErrorTable.kt
+++ b/core/src/main/kotlin/org/buckthornhub/error/ErrorTable.kt
@@ -19,6 +19,7 @@
         ErrorKind.QUEUE_FULL -> later(503, Execution.NOT_RUN, "Repeat after the time in Retry-After.")
         ErrorKind.NO_TARGET -> later(503, Execution.NOT_RUN, "Repeat later; no target of the group can be reached.")
         ErrorKind.NO_PRIMARY -> later(503, Execution.NOT_RUN, "Repeat later; a primary is being promoted.")
+        ErrorKind.REPLICA_BEHIND -> later(503, Execution.NOT_RUN, "Repeat later; no instance in reach is known to be recent enough.")
         ErrorKind.WRITE_LOST -> never(409, Execution.NO_EFFECT, "A write of this session was lost: check it, then start a new session.")
         ErrorKind.OUTCOME_UNKNOWN -> never(504, Execution.UNKNOWN, "The statement may have run: look before you send it again.")
         ErrorKind.ANSWER_LOST -> later(502, Execution.UNKNOWN, "The read got no whole answer; it may be repeated.")
--- a/core/src/main/kotlin/org/buckthornhub/statement/Answer.kt
+++ b/core/src/main/kotlin/org/buckthornhub/statement/Answer.kt
@@ -1,5 +1,6 @@
 package org.buckthornhub.statement
 
+import kotlinx.serialization.Serializable
 import org.buckthornhub.group.Position
 import org.buckthornhub.target.TargetId
 
@@ -11,6 +12,7 @@
  * @property fromReplica true if a replica served it
  * @property transaction set by a begin
  */
+@Serializable
 public data class Answer(
     val value: String?,
     val position: Position,
--- a/core/src/main/kotlin/org/buckthornhub/statement/Operation.kt
+++ b/core/src/main/kotlin/org/buckthornhub/statement/Operation.kt
@@ -1,21 +1,26 @@
 package org.buckthornhub.statement
 
+import kotlinx.serialization.Serializable
 import org.buckthornhub.group.GroupId
 
 /** The closed list of what a caller may ask for. */
+@Serializable
 public sealed interface Operation {
     /** The group that it concerns. */
     public val group: GroupId
 
     /** Runs one statement outside any transaction. */
+    @Serializable
     public data class Run(val statement: Statement) : Operation {
         override val group: GroupId get() = statement.group
     }
 
     /** Begins a transaction on the primary of [group]. */
+    @Serializable
     public data class Begin(override val group: GroupId) : Operation
 
     /** Runs one statement inside [transaction]. */
+    @Serializable
     public data class RunInTransaction(
         val transaction: TransactionId,
         val statement: Statement,
@@ -24,12 +29,14 @@
     }
 
     /** Commits [transaction]. */
+    @Serializable
     public data class Commit(
         override val group: GroupId,
         val transaction: TransactionId,
     ) : Operation
 
     /** Rolls [transaction] back. */
+    @Serializable
     public data class RollBack(
         override val group: GroupId,
         val transaction: TransactionId,
--- a/core/src/main/kotlin/org/buckthornhub/statement/Statement.kt
+++ b/core/src/main/kotlin/org/buckthornhub/statement/Statement.kt
@@ -1,5 +1,6 @@
 package org.buckthornhub.statement
 
+import kotlinx.serialization.Serializable
 import org.buckthornhub.group.GroupId
 
 /**
@@ -8,6 +9,7 @@
  * @property repeatable true if running it twice does no harm; anything else is sent to a target at most once
  * @property acceptedAgeMillis age of data that a read accepts in ms; null asks for the session's own writes only
  */
+@Serializable
 public data class Statement(
     val group: GroupId,
     val access: Access,
--- a/core/src/main/kotlin/org/buckthornhub/target/TargetCall.kt
+++ b/core/src/main/kotlin/org/buckthornhub/target/TargetCall.kt
@@ -4,6 +4,7 @@
 import org.buckthornhub.organisation.OrganisationId
 import org.buckthornhub.statement.Operation
 import org.buckthornhub.statement.RequestId
+import org.buckthornhub.statement.TransactionId
 
 /**
  * One operation for one target. It carries no key.
@@ -11,6 +12,7 @@
  * @property organisation owner of the request, for fair queues; null on groups open to all
  * @property position what a read has to see
  * @property deadlineMillis monotonic time of this process
+ * @property newTransaction id that the owner gives to a begin; null elsewhere
  */
 public data class TargetCall(
     val target: TargetId,
@@ -20,4 +22,5 @@
     val position: Position,
     val deadlineMillis: Long,
     val traceParent: String? = null,
+    val newTransaction: TransactionId? = null,
 )
--- /dev/null
+++ b/core/src/main/kotlin/org/buckthornhub/target/owner/CallIntake.kt
@@ -0,0 +1,64 @@
+package org.buckthornhub.target.owner
+
+import org.buckthornhub.error.ErrorKind
+import org.buckthornhub.group.Position
+import org.buckthornhub.queue.QueuedCall
+import org.buckthornhub.repeat.LedgerEntry
+import org.buckthornhub.statement.Operation
+import org.buckthornhub.target.TargetCall
+import kotlin.math.ceil
+
+/** Takes a call in: from the ledger, into its transaction, into the queue, or refused before anything is sent. */
+internal fun OwnerState.submitted(message: OwnerMessage.Submit, context: OwnerContext): OwnerStep {
+    val (ticket, call) = message
+    val taken = copy(calls = calls.put(ticket, PendingCall(call, message.newTransaction)))
+    taken.answeredFromLedger(ticket, call, context)?.let { return it }
+    val known = if (isRemembered(call.operation)) taken.copy(ledger = ledger.put(keyOf(call), LedgerEntry(call.operation))) else taken
+    return when (val operation = call.operation) {
+        is Operation.Run, is Operation.Begin -> known.submittedOutside(ticket, call, context)
+        is Operation.RunInTransaction -> known.submittedInside(ticket, operation.transaction, context)
+        is Operation.Commit -> known.submittedInside(ticket, operation.transaction, context)
+        is Operation.RollBack -> known.submittedInside(ticket, operation.transaction, context)
+    }
+}
+
+private fun OwnerState.submittedOutside(ticket: Long, call: TargetCall, context: OwnerContext): OwnerStep {
+    if (entry.leaving) return refused(ticket, ErrorKind.NO_TARGET, "target ${entry.target} is leaving")
+    if (needsLease(call.operation)) {
+        if (context.leaseTerm == null) return refused(ticket, ErrorKind.NO_PRIMARY, "no lease is held for group ${entry.group}")
+        return queued(ticket, context)
+    }
+    if (context.history.contains(held = position, wanted = call.position)) return queued(ticket, context)
+    val untilMillis = minOf(context.nowMillis + context.limits.replicaWaitMillis, call.deadlineMillis)
+    return copy(behind = behind.put(ticket, untilMillis)).watchingTarget()
+}
+
+/** Queues [ticket], or refuses it early if it can't be served before its deadline. */
+internal fun OwnerState.queued(ticket: Long, context: OwnerContext): OwnerStep {
+    val call = calls[ticket]?.call ?: return unchanged()
+    val waitMillis = estimatedWaitMillis(call)
+    if (context.nowMillis + waitMillis >= call.deadlineMillis) {
+        return refused(ticket, ErrorKind.DEADLINE_EXPIRED, "the queue takes about $waitMillis ms", retryAfterMillis = waitMillis)
+    }
+    val addition = queue.add(QueuedCall(ticket, call.organisation, serviceMillis))
+    val added = copy(queue = addition.queue, behind = behind.remove(ticket))
+    val refused = addition.refused ?: return added.scheduled(context)
+    return added
+        .refused(refused, ErrorKind.QUEUE_FULL, "the queue of target ${entry.target} is full", retryAfterMillis = waitMillis)
+        .then { it.scheduled(context) }
+}
+
+/** Asks the target again while a read waits for it. */
+internal fun OwnerState.watchingTarget(delayMillis: Long = 0): OwnerStep =
+    if (isWatchingTarget || behind.isEmpty()) unchanged() else copy(isWatchingTarget = true).with(OwnerEffect.WatchTarget(delayMillis))
+
+/** Moves [position] on, but never back within a term. */
+internal fun OwnerState.movedTo(seen: Position): OwnerState {
+    val isNewer = seen.term > position.term || seen.term == position.term && seen.index > position.index
+    return if (isNewer) copy(position = seen) else this
+}
+
+private fun OwnerState.estimatedWaitMillis(call: TargetCall): Long {
+    if (pool.idleSlot() != null) return 0
+    return ceil(queue.callsAheadOf(call.organisation) * serviceMillis / pool.slots.coerceAtLeast(1)).toLong()
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/buckthornhub/target/owner/LeaseWriteAuthority.kt
@@ -0,0 +1,18 @@
+package org.buckthornhub.target.owner
+
+import org.buckthornhub.control.ReplicatedView
+import org.buckthornhub.fleet.StateSource
+import org.buckthornhub.group.Term
+import org.buckthornhub.lease.HeldLeases
+import org.buckthornhub.target.TargetEntry
+
+/** Writes are acknowledged under the lease of the group, and only for the primary that the quorum committed for its term. */
+public class LeaseWriteAuthority(
+    private val leases: StateSource<HeldLeases>,
+    private val replicated: StateSource<ReplicatedView>,
+) : WriteAuthority {
+    override fun termOf(target: TargetEntry, nowMillis: Long): Term? {
+        val leadership = replicated.current().state.leaderships[target.group] ?: return null
+        return leases.current().termOf(target.group, nowMillis)?.takeIf { it == leadership.term && target.target == leadership.primary }
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/buckthornhub/target/owner/OwnerContext.kt
@@ -0,0 +1,12 @@
+package org.buckthornhub.target.owner
+
+import org.buckthornhub.group.History
+import org.buckthornhub.group.Term
+
+/** What every step of one decision shares. */
+internal data class OwnerContext(
+    val nowMillis: Long,
+    val leaseTerm: Term?,
+    val history: History,
+    val limits: OwnerLimits,
+)
--- /dev/null
+++ b/core/src/main/kotlin/org/buckthornhub/target/owner/OwnerDecider.kt
@@ -0,0 +1,97 @@
+package org.buckthornhub.target.owner
+
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.toPersistentMap
+import org.buckthornhub.decision.Decider
+import org.buckthornhub.decision.Decision
+import org.buckthornhub.error.ErrorKind
+import org.buckthornhub.group.History
+import org.buckthornhub.group.Position
+
+/** Decides for the owner of one target: slots, queue, transactions, writes under the lease, and repeats. */
+public class OwnerDecider(private val limits: OwnerLimits) : Decider<OwnerState, OwnerInput, OwnerEffect> {
+    override fun decide(state: OwnerState, message: OwnerInput, nowMillis: Long): Decision<OwnerState, OwnerEffect> {
+        val context = OwnerContext(nowMillis, message.leaseTerm, History(message.leadership), limits)
+        return state.handled(message.message, context)
+    }
+
+    private fun OwnerState.handled(message: OwnerMessage, context: OwnerContext): OwnerStep = when (message) {
+        is OwnerMessage.Submit -> submitted(message, context)
+        is OwnerMessage.Opened -> copy(pool = pool.opened(message.slot, message.name, context.nowMillis)).scheduled(context)
+        is OwnerMessage.OpenFailed -> openFailed(message, context)
+        is OwnerMessage.Executed -> executed(message, context)
+        is OwnerMessage.Closed -> copy(pool = pool.without(message.slot)).scheduled(context)
+        is OwnerMessage.Announced -> announced(message, context)
+        is OwnerMessage.TargetHeard -> targetHeard(message.progress, context)
+        is OwnerMessage.GroupHeard -> groupHeard(message.progress, context)
+        is OwnerMessage.EndTransactionsOf -> transactionsEndedOf(message.organisation, context)
+        OwnerMessage.Tick -> ticked(context)
+    }
+
+    private fun OwnerState.openFailed(message: OwnerMessage.OpenFailed, context: OwnerContext): OwnerStep {
+        if (message.isRefused) return copy(pool = pool.refused(message.slot, context.nowMillis, limits.pool)).unchanged()
+        val rest = copy(pool = pool.refused(message.slot, context.nowMillis, limits.pool))
+        // Without any connection the calls are better off at another target than in this queue.
+        return if (rest.pool.connections.isEmpty()) rest.queueRefused(message.detail) else rest.unchanged()
+    }
+
+    private tailrec fun OwnerState.queueRefused(detail: String, before: OwnerStep = unchanged()): OwnerStep {
+        val next = queue.take() ?: return before
+        val step = before.then { it.copy(queue = next.queue).refused(next.call.ticket, ErrorKind.NO_TARGET, detail) }
+        return step.state.queueRefused(detail, step)
+    }
+
+    private fun OwnerState.announced(message: OwnerMessage.Announced, context: OwnerContext): OwnerStep {
+        val entry = message.entry
+        val known = copy(entry = entry, pool = pool.copy(slots = entry.slots)).movedTo(Position(entry.term, entry.applied))
+        return if (entry.leaving) known.queueRefused("target ${entry.target} is leaving") else known.positionsChecked(context)
+    }
+
+    private fun OwnerState.targetHeard(progress: InstanceProgress?, context: OwnerContext): OwnerStep {
+        val moved = if (progress == null) this else movedTo(Position(progress.term, progress.applied))
+        return moved.copy(isWatchingTarget = false).positionsChecked(context).then { it.watchingTarget(POLL_MILLIS) }
+    }
+
+    private fun OwnerState.groupHeard(found: PersistentList<InstanceProgress>, context: OwnerContext): OwnerStep =
+        copy(progress = progress.putAll(found.associateBy { it.target }), isWatchingGroup = false)
+            .writesConfirmed(context)
+            .then { it.watchingGroup(POLL_MILLIS) }
+
+    private fun OwnerState.positionsChecked(context: OwnerContext): OwnerStep =
+        behind.entries.fold(unchanged()) { step, (ticket, until) -> step.then { it.positionChecked(ticket, until, context) } }
+
+    private fun OwnerState.positionChecked(ticket: Long, untilMillis: Long, context: OwnerContext): OwnerStep {
+        val call = calls[ticket]?.call ?: return copy(behind = behind.remove(ticket)).unchanged()
+        if (context.history.contains(held = position, wanted = call.position)) return queued(ticket, context)
+        if (context.nowMillis < untilMillis) return unchanged()
+        return refused(
+            ticket,
+            ErrorKind.REPLICA_BEHIND,
+            "target ${entry.target} has applied ${position.index.value} of term ${position.term.value}",
+        )
+    }
+
+    private fun OwnerState.ticked(context: OwnerContext): OwnerStep {
+        val aged = copy(
+            ledger = ledger.aged(context.nowMillis),
+            ended = ended.filterValues { context.nowMillis - it < ENDED_MILLIS }.toPersistentMap(),
+        )
+        return aged
+            .expiredTransactionsEnded(context)
+            .then { state ->
+                state.pool.expiredSlots(context.nowMillis, limits.pool).fold(state.unchanged()) { step, slot ->
+                    step.then { it.closing(slot) }
+                }
+            }
+            .then { it.positionsChecked(context) }
+            .then { it.writesConfirmed(context) }
+            .then { it.watchingTarget(POLL_MILLIS) }
+            .then { it.watchingGroup(POLL_MILLIS) }
+            .then { it.scheduled(context) }
+    }
+
+    private companion object {
+        const val ENDED_MILLIS = 600_000L
+        const val POLL_MILLIS = 2L
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/buckthornhub/target/owner/OwnerInput.kt
@@ -0,0 +1,16 @@
+package org.buckthornhub.target.owner
+
+import org.buckthornhub.group.GroupLeadership
+import org.buckthornhub.group.Term
+
+/**
+ * A message with what the owner may rely on at the moment it is handled.
+ *
+ * @property leaseTerm term in which writes may be acknowledged now; null without a lease
+ * @property leadership null if the control quorum has committed none for the group
+ */
+public data class OwnerInput(
+    val message: OwnerMessage,
+    val leaseTerm: Term?,
+    val leadership: GroupLeadership?,
+)
--- a/daemon/src/main/kotlin/org/buckthornhub/daemon/DaemonAssembly.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/daemon/DaemonAssembly.kt
@@ -5,12 +5,13 @@
 import kotlinx.coroutines.CoroutineScope
 import org.buckthornhub.caller.CallerRoutes
 import org.buckthornhub.clock.SystemClock
+import org.buckthornhub.control.ReplicatedView
 import org.buckthornhub.fleet.AnnounceRoutes
 import org.buckthornhub.fleet.FleetTask
 import org.buckthornhub.fleet.StateSource
-import org.buckthornhub.http.HttpLinks
 import org.buckthornhub.http.HttpServer
 import org.buckthornhub.http.PeerJson
+import org.buckthornhub.lease.HeldLeases
 import org.buckthornhub.limit.Admission
 import org.buckthornhub.limit.AdmitInterceptor
 import org.buckthornhub.organisation.AuthenticateInterceptor
@@ -24,7 +25,7 @@
 import org.buckthornhub.session.SessionCodec
 import org.buckthornhub.settings.Settings
 import org.buckthornhub.target.ExecuteInterceptor
-import org.buckthornhub.target.GatewayTask
+import org.buckthornhub.target.TargetAssembly
 import java.io.File
 
 /** Builds the tasks of one daemon and connects them. */
@@ -36,24 +37,25 @@
     fun start(scope: CoroutineScope) {
         val configuration = initialConfiguration()
         val fleet = FleetTask(clock)
-        val gateway = GatewayTask(fleet, HttpLinks, clock)
+        val targets = TargetAssembly(settings, clock, fleet, StateSource { ReplicatedView() }, StateSource { HeldLeases() })
         fleet.start(scope)
-        gateway.start(scope)
-        val proxy = Proxy(interceptors(StateSource { configuration }, fleet, gateway))
+        targets.start(scope)
+        val proxy = Proxy(interceptors(StateSource { configuration }, fleet, targets))
         val routes =
             CallerRoutes(proxy, sessionCodec, clock, settings.defaultDeadlineMillis).routes() +
                 AnnounceRoutes(fleet).routes() +
+                targets.routes() +
                 PlatformRoutes { true }.routes()
         HttpServer(settings.host, settings.port, routes, settings.maxBodyBytes).start()
     }
 
-    private fun interceptors(configuration: StateSource<Configuration>, fleet: FleetTask, gateway: GatewayTask) = persistentListOf(
+    private fun interceptors(configuration: StateSource<Configuration>, fleet: FleetTask, targets: TargetAssembly) = persistentListOf(
         AuthenticateInterceptor(configuration),
         ResumeSessionInterceptor(sessionCodec),
         AuthorizeInterceptor(configuration),
         AdmitInterceptor(Admission { _, _, _ -> Ok(0) }),
         RouteInterceptor(ReplicaRoutePolicy(), fleet, settings.zone, clock),
-        ExecuteInterceptor(gateway),
+        ExecuteInterceptor(targets.gateway),
     )
 
     private fun initialConfiguration(): Configuration {
--- /dev/null
+++ b/daemon/src/main/kotlin/org/buckthornhub/peer/ForwardBody.kt
@@ -0,0 +1,47 @@
+package org.buckthornhub.peer
+
+import kotlinx.serialization.Serializable
+import org.buckthornhub.group.Position
+import org.buckthornhub.organisation.OrganisationId
+import org.buckthornhub.statement.Operation
+import org.buckthornhub.statement.RequestId
+import org.buckthornhub.target.TargetCall
+import org.buckthornhub.target.TargetId
+
+/**
+ * A call on its way to the owner of its target. It has no place for a key.
+ *
+ * @property remainingMillis time to the deadline, since the clocks of two daemons don't agree
+ */
+@Serializable
+internal data class ForwardBody(
+    val target: TargetId,
+    val operation: Operation,
+    val requestId: RequestId,
+    val organisation: OrganisationId?,
+    val position: Position,
+    val remainingMillis: Long,
+    val traceParent: String? = null,
+) {
+    fun toCall(nowMillis: Long): TargetCall = TargetCall(
+        target = target,
+        operation = operation,
+        requestId = requestId,
+        organisation = organisation,
+        position = position,
+        deadlineMillis = nowMillis + remainingMillis,
+        traceParent = traceParent,
+    )
+
+    companion object {
+        fun of(call: TargetCall, nowMillis: Long): ForwardBody = ForwardBody(
+            target = call.target,
+            operation = call.operation,
+            requestId = call.requestId,
+            organisation = call.organisation,
+            position = call.position,
+            remainingMillis = call.deadlineMillis - nowMillis,
+            traceParent = call.traceParent,
+        )
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/buckthornhub/peer/PeerTask.kt
@@ -0,0 +1,113 @@
+package org.buckthornhub.peer
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getOrElse
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import kotlinx.serialization.SerializationException
+import org.buckthornhub.clock.Clock
+import org.buckthornhub.error.ErrorKind
+import org.buckthornhub.error.ProxyError
+import org.buckthornhub.fleet.FleetView
+import org.buckthornhub.fleet.StateSource
+import org.buckthornhub.fleet.VmId
+import org.buckthornhub.http.HttpLink
+import org.buckthornhub.http.HttpReply
+import org.buckthornhub.http.PeerJson
+import org.buckthornhub.statement.Answer
+import org.buckthornhub.statement.isRead
+import org.buckthornhub.target.TargetCall
+import org.buckthornhub.task.Task
+
+/** Owns the links to other daemons and forwards calls to the owners there; a call is sent once. */
+internal class PeerTask(
+    private val view: StateSource<FleetView>,
+    private val links: HttpLink.Factory,
+    private val authority: PeerAuthority,
+    private val clock: Clock,
+) : Task<PeerMessage>("peers"),
+    PeerGateway {
+    private var peers: PersistentMap<VmId, PeerLink> = persistentMapOf()
+    private lateinit var scope: CoroutineScope
+
+    override suspend fun execute(owner: VmId, call: TargetCall): Result<Answer, ProxyError> {
+        val reply = CompletableDeferred<Result<Answer, ProxyError>>()
+        if (!offer(
+                PeerMessage.Forward(owner, call, reply),
+            )
+        ) {
+            return Err(ProxyError(ErrorKind.QUEUE_FULL, "too many calls wait in this daemon"))
+        }
+        return reply.await()
+    }
+
+    override suspend fun onStart(scope: CoroutineScope) {
+        this.scope = scope
+    }
+
+    override suspend fun handle(message: PeerMessage) {
+        when (message) {
+            is PeerMessage.Forward -> forward(message)
+        }
+    }
+
+    override fun onEnd() {
+        peers.values.forEach { it.link.close() }
+    }
+
+    private fun forward(message: PeerMessage.Forward) {
+        val link = linkTo(message.owner)
+        if (link == null) {
+            message.reply.complete(Err(ProxyError(ErrorKind.NO_TARGET, "daemon ${message.owner} is not known")))
+            return
+        }
+        scope.launch { message.reply.complete(exchange(link, message.call)) }
+    }
+
+    private fun linkTo(vm: VmId): HttpLink? {
+        val address = view.current().daemons[vm]?.address ?: return null
+        val known = peers[vm]
+        if (known?.address == address) return known.link
+        known?.link?.close()
+        val link = links.open(address)
+        peers = peers.put(vm, PeerLink(address, link))
+        return link
+    }
+
+    private suspend fun exchange(link: HttpLink, call: TargetCall): Result<Answer, ProxyError> {
+        val body = ForwardBody.of(call, clock.nowMillis())
+        if (body.remainingMillis <=
+            0
+        ) {
+            return Err(ProxyError(ErrorKind.DEADLINE_EXPIRED, "the deadline passed before the call was forwarded"))
+        }
+        val text = PeerJson.encodeToString(ForwardBody.serializer(), body)
+        // The owner answers by the deadline; the grace is for its answer to come back.
+        val reply =
+            link.post(ForwardRoutes.PATH, text, body.remainingMillis + GRACE_MILLIS, authority.headers()).getOrElse {
+                return Err(if (it.sent) lost(call, it.detail) else ProxyError(ErrorKind.NO_TARGET, it.detail))
+            }
+        return resultOf(reply, call)
+    }
+
+    private fun resultOf(reply: HttpReply, call: TargetCall): Result<Answer, ProxyError> {
+        if (!reply.isSuccess) return Err(lost(call, "the owner answered with status ${reply.status}"))
+        return try {
+            val decoded = PeerJson.decodeFromString(ForwardReply.serializer(), reply.body)
+            if (decoded.requestId == call.requestId) decoded.toResult() else Err(lost(call, "the owner answered another request"))
+        } catch (e: SerializationException) {
+            Err(lost(call, "the answer of the owner is not whole: ${e.message}"))
+        }
+    }
+
+    private fun lost(call: TargetCall, detail: String): ProxyError =
+        ProxyError(if (call.operation.isRead()) ErrorKind.ANSWER_LOST else ErrorKind.OUTCOME_UNKNOWN, detail)
+
+    private companion object {
+        const val GRACE_MILLIS = 50L
+    }
+}
--- a/daemon/src/main/kotlin/org/buckthornhub/target/GatewayMessage.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/target/GatewayMessage.kt
@@ -3,13 +3,20 @@
 import com.github.michaelbull.result.Result
 import kotlinx.coroutines.CompletableDeferred
 import org.buckthornhub.error.ProxyError
+import org.buckthornhub.organisation.OrganisationId
 import org.buckthornhub.statement.Answer
 
-/** What the task that hands calls to the owners of targets is told. */
+/** What the task that keeps the owners of targets is told. */
 internal sealed interface GatewayMessage {
-    /** Hands [call] to the owner of its target. */
-    data class Forward(
+    /** Hands [call] to the owner of its target in this daemon. */
+    data class Run(
         val call: TargetCall,
         val reply: CompletableDeferred<Result<Answer, ProxyError>>,
     ) : GatewayMessage
+
+    /** Rolls back every transaction of [organisation]. */
+    data class EndTransactionsOf(val organisation: OrganisationId) : GatewayMessage
+
+    /** Time to pass announcements on. */
+    data object Tick : GatewayMessage
 }
--- a/daemon/src/main/kotlin/org/buckthornhub/target/GatewayTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/target/GatewayTask.kt
@@ -6,52 +6,71 @@
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
-import org.buckthornhub.clock.Clock
 import org.buckthornhub.error.ErrorKind
 import org.buckthornhub.error.ProxyError
-import org.buckthornhub.fleet.FleetView
-import org.buckthornhub.fleet.StateSource
-import org.buckthornhub.http.HttpLink
 import org.buckthornhub.statement.Answer
+import org.buckthornhub.target.owner.OwnerLimits
+import org.buckthornhub.target.owner.OwnerMessage
 import org.buckthornhub.task.Task
+import org.buckthornhub.task.startTicker
 
-/** Keeps one [TargetTask] for each target in use, and hands calls to it. */
+/** Keeps one [TargetTask] for each target that this daemon works for, and hands calls to it. */
 internal class GatewayTask(
-    private val view: StateSource<FleetView>,
-    private val links: HttpLink.Factory,
-    private val clock: Clock,
+    private val environment: OwnerEnvironment,
+    private val limits: OwnerLimits,
 ) : Task<GatewayMessage>("gateway"),
     TargetGateway {
     private var targets: PersistentMap<TargetId, TargetTask> = persistentMapOf()
+    private var announced: PersistentMap<TargetId, TargetEntry> = persistentMapOf()
     private lateinit var scope: CoroutineScope
 
     override suspend fun execute(call: TargetCall): Result<Answer, ProxyError> {
         val reply = CompletableDeferred<Result<Answer, ProxyError>>()
-        if (!offer(GatewayMessage.Forward(call, reply))) return Err(ProxyError(ErrorKind.QUEUE_FULL, "too many calls wait in this daemon"))
+        if (!offer(GatewayMessage.Run(call, reply))) return Err(ProxyError(ErrorKind.QUEUE_FULL, "too many calls wait in this daemon"))
         return reply.await()
     }
 
     override suspend fun onStart(scope: CoroutineScope) {
         this.scope = scope
+        scope.startTicker(this, TICK_MILLIS, GatewayMessage.Tick)
     }
 
     override suspend fun handle(message: GatewayMessage) {
         when (message) {
-            is GatewayMessage.Forward -> forward(message)
+            is GatewayMessage.Run -> run(message)
+            is GatewayMessage.EndTransactionsOf -> tellAll(OwnerMessage.EndTransactionsOf(message.organisation))
+            GatewayMessage.Tick -> passOn()
         }
     }
 
-    private fun forward(message: GatewayMessage.Forward) {
+    private fun run(message: GatewayMessage.Run) {
         val target = targets[message.call.target] ?: open(message.call.target)
         val isTaken = target?.offer(TargetMessage.Run(message.call, message.reply)) ?: false
         if (!isTaken) message.reply.complete(Err(ProxyError(ErrorKind.NO_TARGET, "target ${message.call.target} can't be reached")))
     }
 
     private fun open(id: TargetId): TargetTask? {
-        val entry = view.current().targets[id] ?: return null
-        val task = TargetTask(entry, HttpTargetDriver(entry, links.open(entry.address)), clock)
+        val entry = environment.view.current().targets[id] ?: return null
+        val task = TargetTask(entry, environment.driverOf(entry), environment, limits)
         task.start(scope)
         targets = targets.put(id, task)
         return task
     }
+
+    private fun tellAll(message: OwnerMessage) {
+        targets.values.forEach { it.offer(TargetMessage.Event(message)) }
+    }
+
+    private fun passOn() {
+        val current = environment.view.current().targets
+        targets.forEach { (id, task) ->
+            val entry = current[id] ?: return@forEach
+            if (entry != announced[id]) task.offer(TargetMessage.Event(OwnerMessage.Announced(entry)))
+        }
+        announced = current
+    }
+
+    private companion object {
+        const val TICK_MILLIS = 100L
+    }
 }
--- a/daemon/src/main/kotlin/org/buckthornhub/target/HttpTargetDriver.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/target/HttpTargetDriver.kt
@@ -3,8 +3,9 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getOrElse
-import com.github.michaelbull.result.map
+import com.github.michaelbull.result.mapBoth
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerializationException
 import org.buckthornhub.error.ErrorKind
@@ -20,7 +21,8 @@
 import org.buckthornhub.statement.Answer
 import org.buckthornhub.statement.Operation
 import org.buckthornhub.statement.Statement
-import org.buckthornhub.statement.TransactionId
+import org.buckthornhub.target.owner.InstanceProgress
+import org.buckthornhub.target.wire.Announcement
 import org.buckthornhub.target.wire.ConnectResponse
 import org.buckthornhub.target.wire.ExecuteRequest
 import org.buckthornhub.target.wire.ExecuteResponse
@@ -32,12 +34,19 @@
     private val target: TargetEntry,
     private val link: HttpLink,
 ) : TargetDriver {
-    override suspend fun connect(timeoutMillis: Long): Result<String, ProxyError> {
-        val reply =
-            link.post("/connections", "{}", timeoutMillis).getOrElse {
-                return Err(ProxyError(ErrorKind.NO_TARGET, it.detail))
-            }
-        return decode(ConnectResponse.serializer(), reply, Access.READ).map { it.connection }
+    override suspend fun connect(timeoutMillis: Long): Result<String, ConnectFailure> {
+        val reply = link.post("/connections", "{}", timeoutMillis).getOrElse { return Err(ConnectFailure(isRefused = false, it.detail)) }
+        if (reply.status == STATUS_CONFLICT) return Err(ConnectFailure(isRefused = true, "target ${target.target} has no free slot"))
+        return decode(ConnectResponse.serializer(), reply, Access.READ).mapBoth(
+            success = { Ok(it.connection) },
+            failure = { Err(ConnectFailure(isRefused = false, it.detail)) },
+        )
+    }
+
+    override suspend fun progress(timeoutMillis: Long): InstanceProgress? {
+        val reply = link.get("/status", timeoutMillis).get() ?: return null
+        val status = decode(Announcement.serializer(), reply, Access.READ).get() ?: return null
+        return InstanceProgress(status.target, status.role, status.term, status.received, status.applied)
     }
 
     override suspend fun execute(connection: String, call: TargetCall, timeoutMillis: Long): Result<Answer, ProxyError> {
@@ -47,7 +56,7 @@
         val reply = link.post("/connections/$connection/execute", body, timeoutMillis).getOrElse { return Err(errorOf(it, access)) }
         val response = decode(ExecuteResponse.serializer(), reply, access).getOrElse { return Err(it) }
         if (response.requestId != request.requestId) return Err(lost(access, "the target answered another request"))
-        return Ok(answerOf(call, connection, response))
+        return Ok(answerOf(response))
     }
 
     override suspend fun disconnect(connection: String) {
@@ -57,7 +66,7 @@
     override fun close(): Unit = link.close()
 
     private fun requestOf(call: TargetCall): ExecuteRequest {
-        val id = call.requestId.value
+        val id = wireIdOf(call)
         return when (val operation = call.operation) {
             is Operation.Run -> ExecuteRequest(id, actionOf(operation.statement), operation.statement.text)
             is Operation.RunInTransaction -> ExecuteRequest(id, actionOf(operation.statement), operation.statement.text)
@@ -67,14 +76,16 @@
         }
     }
 
+    // Ids are the callers' own, so that those of two organisations may be equal.
+    private fun wireIdOf(call: TargetCall) = "${call.organisation?.value.orEmpty()}/${call.requestId}"
+
     private fun actionOf(statement: Statement) = if (statement.access == Access.READ) WireAction.READ else WireAction.WRITE
 
-    private fun answerOf(call: TargetCall, connection: String, response: ExecuteResponse): Answer = Answer(
+    private fun answerOf(response: ExecuteResponse): Answer = Answer(
         value = response.value,
         position = Position(Term(response.term), LogPosition(response.position)),
         target = target.target,
         fromReplica = target.role == TargetRole.REPLICA,
-        transaction = if (call.operation is Operation.Begin) TransactionId("${target.target}.$connection") else null,
     )
 
     private fun <T> decode(serializer: KSerializer<T>, reply: HttpReply, access: Access): Result<T, ProxyError> = try {
@@ -107,5 +118,6 @@
 
     private companion object {
         const val CLOSE_TIMEOUT_MILLIS = 1_000L
+        const val STATUS_CONFLICT = 409
     }
 }
--- /dev/null
+++ b/daemon/src/main/kotlin/org/buckthornhub/target/OwnerEnvironment.kt
@@ -0,0 +1,39 @@
+package org.buckthornhub.target
+
+import org.buckthornhub.clock.Clock
+import org.buckthornhub.control.ReplicatedView
+import org.buckthornhub.fleet.FleetView
+import org.buckthornhub.fleet.StateSource
+import org.buckthornhub.fleet.VmId
+import org.buckthornhub.group.GroupId
+import org.buckthornhub.group.GroupLeadership
+import org.buckthornhub.statement.TransactionId
+import org.buckthornhub.target.owner.WriteAuthority
+import java.security.SecureRandom
+import java.util.HexFormat
+
+/** What every owner of a target in this daemon shares. */
+internal class OwnerEnvironment(
+    private val self: VmId,
+    val clock: Clock,
+    val view: StateSource<FleetView>,
+    val authority: WriteAuthority,
+    private val drivers: TargetDriver.Factory,
+    private val replicated: StateSource<ReplicatedView>,
+) {
+    private val random = SecureRandom()
+
+    fun leadershipOf(group: GroupId): GroupLeadership? = replicated.current().state.leaderships[group]
+
+    fun driverOf(target: TargetEntry): TargetDriver = drivers.open(target)
+
+    /** An id for a transaction at [target] that can't be guessed. */
+    fun newTransaction(target: TargetId): TransactionId {
+        val nonce = ByteArray(NONCE_BYTES).also { random.nextBytes(it) }
+        return TransactionRoute(HexFormat.of().formatHex(nonce), target, self).toId()
+    }
+
+    private companion object {
+        const val NONCE_BYTES = 16
+    }
+}
--- a/daemon/src/main/kotlin/org/buckthornhub/target/TargetTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/target/TargetTask.kt
@@ -1,116 +1,117 @@
 package org.buckthornhub.target
 
-import com.github.michaelbull.result.Err
-import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
-import com.github.michaelbull.result.get
-import com.github.michaelbull.result.getError
+import com.github.michaelbull.result.mapBoth
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import org.buckthornhub.clock.Clock
-import org.buckthornhub.error.ErrorKind
 import org.buckthornhub.error.ProxyError
+import org.buckthornhub.queue.QueuePolicy
 import org.buckthornhub.statement.Answer
-import org.buckthornhub.statement.Operation
-import org.buckthornhub.statement.TransactionId
+import org.buckthornhub.target.owner.OwnerDecider
+import org.buckthornhub.target.owner.OwnerEffect
+import org.buckthornhub.target.owner.OwnerInput
+import org.buckthornhub.target.owner.OwnerLimits
+import org.buckthornhub.target.owner.OwnerMessage
+import org.buckthornhub.target.owner.OwnerState
 import org.buckthornhub.task.Task
+import org.buckthornhub.task.startTicker
 
-/** Owns the connections to one target: queues calls, runs each on one connection, pins transactions. */
+/** Owns the connections to one target and runs [OwnerDecider] over them. */
 internal class TargetTask(
-    private val target: TargetEntry,
+    target: TargetEntry,
     private val driver: TargetDriver,
-    private val clock: Clock,
+    private val environment: OwnerEnvironment,
+    limits: OwnerLimits,
 ) : Task<TargetMessage>("target-${target.target}") {
-    private var state = TargetState()
+    private val decider = OwnerDecider(limits)
+    private val siblings = SiblingTask(target, environment) { offer(TargetMessage.Event(it)) }
+    private var state = OwnerState.of(target, limits, QueuePolicy.FAIR)
+    private var replies: PersistentMap<Long, CompletableDeferred<Result<Answer, ProxyError>>> = persistentMapOf()
+    private var nextTicket = 1L
     private lateinit var scope: CoroutineScope
 
     override suspend fun onStart(scope: CoroutineScope) {
         this.scope = scope
+        siblings.start(scope)
+        scope.startTicker(this, TICK_MILLIS, TargetMessage.Event(OwnerMessage.Tick))
     }
 
     override suspend fun handle(message: TargetMessage) {
         when (message) {
-            is TargetMessage.Run -> run(message)
-            is TargetMessage.Released -> release(message.connection)
-            is TargetMessage.Dropped -> drop(message.connection)
-            is TargetMessage.Pinned -> state = state.copy(pinned = state.pinned.put(message.transaction, message.connection))
+            is TargetMessage.Run -> submit(message)
+            is TargetMessage.Event -> decide(message.message)
         }
     }
 
-    override fun onEnd(): Unit = driver.close()
+    override fun onEnd() {
+        driver.close()
+        siblings.end()
+    }
 
-    private fun run(message: TargetMessage.Run) {
-        val transaction = transactionOf(message.call.operation)
-        if (transaction == null) {
-            state = state.copy(waiting = state.waiting.add(message))
-            return serveNext()
-        }
-        val connection = state.pinned[transaction]
-        if (connection == null) {
-            message.reply.complete(Err(ProxyError(ErrorKind.TRANSACTION_UNKNOWN, "no transaction $transaction is open")))
-            return
-        }
-        launchOn(connection, message)
+    private fun submit(message: TargetMessage.Run) {
+        val ticket = nextTicket
+        nextTicket += 1
+        replies = replies.put(ticket, message.reply)
+        decide(OwnerMessage.Submit(ticket, message.call, environment.newTransaction(message.call.target)))
     }
 
-    private fun release(connection: String) {
-        state = state.copy(idle = state.idle.add(connection), pinned = state.pinned.without(connection))
-        serveNext()
+    private fun decide(message: OwnerMessage) {
+        val now = environment.clock.nowMillis()
+        val input = OwnerInput(message, environment.authority.termOf(state.entry, now), environment.leadershipOf(state.entry.group))
+        val decision = decider.decide(state, input, now)
+        state = decision.state
+        decision.effects.forEach { carryOut(it) }
     }
 
-    private fun drop(connection: String?) {
-        state = state.copy(open = state.open - 1, pinned = state.pinned.without(connection))
-        serveNext()
+    private fun carryOut(effect: OwnerEffect) {
+        when (effect) {
+            is OwnerEffect.Open -> scope.launch { open(effect) }
+            is OwnerEffect.Execute -> scope.launch { execute(effect) }
+            is OwnerEffect.Close -> scope.launch { close(effect) }
+            is OwnerEffect.Reply -> reply(effect)
+            is OwnerEffect.WatchTarget -> scope.launch { watchTarget(effect.delayMillis) }
+            is OwnerEffect.WatchGroup -> siblings.offer(SiblingMessage.Ask(effect.delayMillis))
+        }
     }
 
-    private fun serveNext() {
-        val next = state.waiting.firstOrNull() ?: return
-        val connection = state.idle.firstOrNull()
-        if (connection == null && state.open >= target.slots) return
-        state =
-            state.copy(
-                waiting = state.waiting.removeAt(0),
-                idle = if (connection == null) state.idle else state.idle.removeAt(0),
-                open = if (connection == null) state.open + 1 else state.open,
+    private suspend fun open(effect: OwnerEffect.Open) {
+        val message =
+            driver.connect(CONNECT_TIMEOUT_MILLIS).mapBoth(
+                success = { OwnerMessage.Opened(effect.slot, it) },
+                failure = { OwnerMessage.OpenFailed(effect.slot, it.isRefused, it.detail) },
             )
-        launchOn(connection, next)
+        report(message)
     }
 
-    private fun launchOn(existing: String?, message: TargetMessage.Run) {
-        scope.launch {
-            val remaining = message.call.deadlineMillis - clock.nowMillis()
-            val opened = if (existing == null) driver.connect(remaining.coerceAtLeast(1)) else Ok(existing)
-            val connection = opened.get()
-            if (connection == null) {
-                offer(TargetMessage.Dropped(null))
-                message.reply.complete(Err(checkNotNull(opened.getError())))
-            } else {
-                finish(connection, message, driver.execute(connection, message.call, remaining.coerceAtLeast(1)))
-            }
-        }
+    private suspend fun execute(effect: OwnerEffect.Execute) {
+        val result = driver.execute(effect.name, effect.call, effect.timeoutMillis)
+        report(OwnerMessage.Executed(effect.slot, effect.ticket, result))
     }
 
-    private suspend fun finish(connection: String, message: TargetMessage.Run, result: Result<Answer, ProxyError>) {
-        val kind = result.getError()?.kind
-        val transaction = result.get()?.transaction
-        when {
-            kind == ErrorKind.OUTCOME_UNKNOWN || kind == ErrorKind.ANSWER_LOST -> dropNow(connection)
-            transaction != null -> offer(TargetMessage.Pinned(transaction, connection))
-            message.call.operation is Operation.RunInTransaction -> Unit
-            else -> offer(TargetMessage.Released(connection))
-        }
-        message.reply.complete(result)
+    private suspend fun close(effect: OwnerEffect.Close) {
+        driver.disconnect(effect.name)
+        report(OwnerMessage.Closed(effect.slot))
+    }
+
+    private suspend fun watchTarget(delayMillis: Long) {
+        delay(delayMillis)
+        report(OwnerMessage.TargetHeard(driver.progress(PROGRESS_TIMEOUT_MILLIS)))
     }
 
-    private suspend fun dropNow(connection: String) {
-        driver.disconnect(connection)
-        offer(TargetMessage.Dropped(connection))
+    private fun reply(effect: OwnerEffect.Reply) {
+        replies[effect.ticket]?.complete(effect.result)
+        replies = replies.remove(effect.ticket)
     }
 
-    private fun transactionOf(operation: Operation): TransactionId? = when (operation) {
-        is Operation.Run, is Operation.Begin -> null
-        is Operation.RunInTransaction -> operation.transaction
-        is Operation.Commit -> operation.transaction
-        is Operation.RollBack -> operation.transaction
+    private suspend fun report(message: OwnerMessage): Unit = report(TargetMessage.Event(message))
+
+    private companion object {
+        const val TICK_MILLIS = 20L
+        const val CONNECT_TIMEOUT_MILLIS = 1_500L
+        const val PROGRESS_TIMEOUT_MILLIS = 500L
     }
 }
--- a/runtime/src/main/kotlin/org/buckthornhub/task/Task.kt
+++ b/runtime/src/main/kotlin/org/buckthornhub/task/Task.kt
@@ -3,6 +3,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.channels.ClosedSendChannelException
 import kotlinx.coroutines.launch
 
 /**
@@ -30,6 +31,15 @@
         }
     }
 
+    /** Reports from a child coroutine: waits while the mailbox is full; a task that has ended needs no report. */
+    protected suspend fun report(message: M) {
+        try {
+            messages.send(message)
+        } catch (e: ClosedSendChannelException) {
+            return
+        }
+    }
+
     /** Takes no more messages. */
     public fun end() {
         messages.close()
