Add exact fleet-wide limits: leased zone shares, tokens moved in batches

Cause: a rate and a burst have to hold over the whole fleet, through daemons that die with tokens in hand, zones cut off and paused daemons that wake. Change: the control leader leases each zone an equal share of an organisation's limit (ShareLedgerDecider); the zone's holder mints it and moves tokens out in batches that count against the burst until they are settled or expire (ShareHolderDecider); a daemon that is empty asks its own zone, then all others (TokenClientDecider). A new control leader renews at once what holders still hold, and grants anything else only after one lease. A clock in whole ms may tick right after a full bucket was emptied, so a nearly full bucket skips one tick. Weighed: one bucket holder for the whole fleet, ruled out because a zone that is cut off would have nothing.

--- /dev/null
+++ b/core/src/test/kotlin/org/buckthornhub/limit/SimulatedDaemon.kt
@@ -0,0 +1,123 @@
+package org.buckthornhub.limit
+
+import org.buckthornhub.fleet.VmId
+import org.buckthornhub.fleet.ZoneId
+import org.buckthornhub.organisation.OrganisationId
+
+/** One run of a daemon: its client and its holder, as the daemon's tasks run them. */
+internal class SimulatedDaemon(
+    private val fleet: SimulatedFleet,
+    val index: Int,
+    val zone: ZoneId,
+    private val clock: DriftingClock,
+    private val epoch: Long,
+) {
+    private val holderDecider = ShareHolderDecider(fleet.plan.timing)
+    private val clientDecider = TokenClientDecider(fleet.plan.timing)
+    private var holder = ShareHolderState(epoch)
+    private var client = TokenClientState()
+    private var controlTerm = 1L
+    private var demands = emptyMap<OrganisationId, Int>()
+    private var replies = emptyMap<Long, (TokenReply) -> Unit>()
+    private var tickets = emptyMap<Long, (Boolean) -> Unit>()
+    private var next = 0L
+    var pausedUntilMicros = 0L
+    var isDead = false
+
+    fun start() {
+        onClient(TokenClientMessage.Zones(fleet.zonesSeenFrom(this)))
+        renew()
+        tick()
+    }
+
+    fun arrive(organisation: OrganisationId, limit: RateLimit, done: (Boolean) -> Unit) = awake {
+        val ticket = next++
+        tickets = tickets + (ticket to done)
+        demands = demands + (organisation to (demands[organisation] ?: 0) + 1)
+        onClient(TokenClientMessage.Admit(ticket, organisation, limit, clock.nowMillis() + DEADLINE_MILLIS))
+    }
+
+    fun asked(request: TokenRequest, reply: (TokenReply) -> Unit) = awake {
+        val replyId = next++
+        replies = replies + (replyId to reply)
+        onHolder(ShareHolderMessage.Asked(replyId, request))
+    }
+
+    fun relimit(limits: Map<OrganisationId, RateLimit>) = awake { onHolder(ShareHolderMessage.Relimited(limits)) }
+
+    /** Runs [action] at once, or when the pause of the process is over, or never if it died. */
+    fun awake(action: () -> Unit) {
+        when {
+            isDead -> return
+            fleet.time.nowMicros < pausedUntilMicros -> fleet.time.after(pausedUntilMicros - fleet.time.nowMicros) { awake(action) }
+            else -> action()
+        }
+    }
+
+    private fun tick(): Unit = awake {
+        onClient(TokenClientMessage.Tick)
+        fleet.time.after(TokenClientDecider.TICK_MILLIS * 1_000) { tick() }
+    }
+
+    private fun renew(): Unit = awake {
+        val nowMillis = clock.nowMillis()
+        val claims =
+            fleet.limits.keys.filter { fleet.isHolder(this, it) }.map { organisation ->
+                val held = holder.shares[organisation]?.takeIf { nowMillis < it.validUntilMillis }
+                ShareClaim(organisation, held?.partsPerMillion ?: 0, held?.askedMillis ?: 0, demands[organisation] ?: 0)
+            }
+        demands = emptyMap()
+        val request = ShareRequest(HolderId(VmId("vm$index"), epoch), fleet.shareZoneOf(this), controlTerm, nowMillis, claims)
+        if (claims.isNotEmpty()) {
+            fleet.requestShares(this, request) { reply -> awake { leased(request, reply) } }
+        }
+        fleet.time.after(fleet.plan.renewMillis * 1_000) { renew() }
+    }
+
+    private fun leased(request: ShareRequest, reply: ShareReply) {
+        controlTerm = maxOf(controlTerm, reply.controlTerm)
+        reply.partsPerMillion.forEach { (organisation, parts) ->
+            val whole = fleet.limits.getValue(organisation)
+            onHolder(ShareHolderMessage.Leased(organisation, whole, parts, request.askedMillis, reply.leaseMillis))
+        }
+    }
+
+    private fun onHolder(message: ShareHolderMessage) {
+        val decision = holderDecider.decide(holder, message, clock.nowMillis())
+        holder = decision.state
+        decision.effects.forEach { effect ->
+            if (effect is ShareHolderEffect.Reply) {
+                replies[effect.replyId]?.invoke(effect.reply)
+                replies = replies - effect.replyId
+            }
+        }
+    }
+
+    private fun onClient(message: TokenClientMessage) {
+        val decision = clientDecider.decide(client, message, clock.nowMillis())
+        client = decision.state
+        decision.effects.forEach { effect ->
+            when (effect) {
+                is TokenClientEffect.Admitted -> end(effect.ticket, isAdmitted = true)
+                is TokenClientEffect.Refused -> end(effect.ticket, isAdmitted = false)
+                is TokenClientEffect.Send -> send(effect)
+            }
+        }
+    }
+
+    private fun send(effect: TokenClientEffect.Send) {
+        val organisation = effect.request.asks.firstOrNull()?.organisation ?: effect.request.settlements.first().organisation
+        fleet.ask(this, effect.zone, organisation, effect.request) { reply ->
+            awake { onClient(TokenClientMessage.Answered(effect.zone, effect.request.asks, reply)) }
+        }
+    }
+
+    private fun end(ticket: Long, isAdmitted: Boolean) {
+        tickets[ticket]?.invoke(isAdmitted)
+        tickets = tickets - ticket
+    }
+
+    private companion object {
+        const val DEADLINE_MILLIS = 1_000L
+    }
+}
