--- a/cli/src/main/kotlin/org/buckthornhub/cli/load/LoadCommand.kt
+++ b/cli/src/main/kotlin/org/buckthornhub/cli/load/LoadCommand.kt
@@ -4,7 +4,6 @@
 import org.buckthornhub.cli.ExitCode
 import org.buckthornhub.clock.SystemClock
 import org.buckthornhub.http.HttpLinks
-import org.buckthornhub.http.WireJson
 import org.buckthornhub.load.check.Evidence
 import org.buckthornhub.load.check.Findings
 import org.buckthornhub.load.report.HtmlReport
@@ -84,7 +83,7 @@
         findings.bySort().forEach { (sort, violations) ->
             if (violations.isNotEmpty()) System.err.println("load: ${violations.size} $sort, first: ${violations.first().detail}")
         }
-        val line = WireJson.encodeToString(Summary.serializer(), summary)
+        val line = summary.toLine()
         println(if (json) line else "${evidence.history.attempts.size} attempts\n$line")
     }
 
--- a/load/src/main/kotlin/org/buckthornhub/load/report/HtmlReport.kt
+++ b/load/src/main/kotlin/org/buckthornhub/load/report/HtmlReport.kt
@@ -1,7 +1,6 @@
 package org.buckthornhub.load.report
 
 import org.HdrHistogram.Histogram
-import org.buckthornhub.http.WireJson
 import org.buckthornhub.load.check.Evidence
 import org.buckthornhub.load.history.Attempt
 import org.buckthornhub.load.history.Outcome
@@ -10,10 +9,9 @@
 public class HtmlReport {
     public fun render(evidence: Evidence, summary: Summary): String {
         val charts = chartsOf(evidence).joinToString("\n") { it.toSvg() }
-        val figures = WireJson.encodeToString(Summary.serializer(), summary)
         val head = "<head><meta charset=\"utf-8\"><title>buckthornhub load</title><style>$STYLE</style></head>"
         return "<!DOCTYPE html>\n<html lang=\"en\">$head" +
-            "<body><h1>buckthornhub load</h1>\n<pre>$figures</pre>\n$charts\n</body></html>\n"
+            "<body><h1>buckthornhub load</h1>\n<pre>${summary.toLine()}</pre>\n$charts\n</body></html>\n"
     }
 
     private fun chartsOf(evidence: Evidence): List<LineChart> {
--- a/standin/src/main/kotlin/org/buckthornhub/standin/instance/InstanceDecider.kt
+++ b/standin/src/main/kotlin/org/buckthornhub/standin/instance/InstanceDecider.kt
@@ -2,6 +2,7 @@
 
 import com.github.michaelbull.result.Ok
 import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentList
 import org.buckthornhub.decision.Decider
 import org.buckthornhub.decision.Decision
 import org.buckthornhub.target.TargetRole
@@ -16,20 +17,30 @@
     override fun decide(state: InstanceState, message: InstanceMessage, nowMillis: Long): Decision<InstanceState, InstanceEffect> {
         // A dead process hears nothing; requests that were in its mailbox get no answer.
         if (state.faults.killed && message !is InstanceMessage.Inject) return Decision(state)
-        return when (message) {
-            is InstanceMessage.Connect -> connections.connect(state, message, nowMillis)
-            is InstanceMessage.Disconnect -> Decision(disconnected(state, message.connection))
-            is InstanceMessage.Touch -> connections.touch(state, message, nowMillis)
-            is InstanceMessage.Execute -> statements.execute(state, message, nowMillis)
-            is InstanceMessage.Replicate -> replication.receive(state, message, nowMillis)
-            is InstanceMessage.RequestLog -> replication.logFor(state, message)
-            is InstanceMessage.CatchUp -> replication.catchUp(state, message, nowMillis)
-            is InstanceMessage.Promote -> replication.promote(state, message)
-            is InstanceMessage.Follow -> replication.follow(state, message)
-            is InstanceMessage.Inject -> inject(state, message)
-            is InstanceMessage.Tick -> replication.advance(connections.closeIdle(state, nowMillis), nowMillis)
-            is InstanceMessage.Heartbeat -> heartbeat(state)
-        }
+        val decision = react(state, message, nowMillis)
+        return decision.copy(effects = decision.effects.mapNotNull { sentThrough(state, it) }.toPersistentList())
+    }
+
+    private fun react(state: InstanceState, message: InstanceMessage, nowMillis: Long): InstanceDecision = when (message) {
+        is InstanceMessage.Connect -> connections.connect(state, message, nowMillis)
+        is InstanceMessage.Disconnect -> Decision(disconnected(state, message.connection))
+        is InstanceMessage.Touch -> connections.touch(state, message, nowMillis)
+        is InstanceMessage.Execute -> statements.execute(state, message, nowMillis)
+        is InstanceMessage.Replicate -> replication.receive(state, message, nowMillis)
+        is InstanceMessage.RequestLog -> replication.logFor(state, message)
+        is InstanceMessage.CatchUp -> replication.catchUp(state, message, nowMillis)
+        is InstanceMessage.Promote -> replication.promote(state, message)
+        is InstanceMessage.Follow -> replication.follow(state, message)
+        is InstanceMessage.Inject -> inject(state, message)
+        is InstanceMessage.Tick -> replication.advance(connections.closeIdle(state, nowMillis), nowMillis)
+        is InstanceMessage.Heartbeat -> heartbeat(state)
+    }
+
+    // A cut network loses what the instance sends as well as what it is sent.
+    private fun sentThrough(state: InstanceState, effect: InstanceEffect): InstanceEffect? {
+        val cutOff = state.faults.cutOff
+        if (effect !is InstanceEffect.Send || cutOff == null) return effect
+        return cutOff.servedZone?.let { effect.copy(onlyZone = it) }
     }
 
     private fun disconnected(state: InstanceState, connection: String) = state.copy(connections = state.connections.remove(connection))
--- a/standin/src/main/kotlin/org/buckthornhub/standin/instance/InstanceEffect.kt
+++ b/standin/src/main/kotlin/org/buckthornhub/standin/instance/InstanceEffect.kt
@@ -1,6 +1,7 @@
 package org.buckthornhub.standin.instance
 
 import kotlinx.coroutines.CompletableDeferred
+import org.buckthornhub.fleet.ZoneId
 import org.buckthornhub.target.TargetId
 
 /** What the task of an instance carries out. */
@@ -11,10 +12,11 @@
         val value: T,
     ) : InstanceEffect
 
-    /** Sends [message] to the instance [to], or to all others of the group if it is null. */
+    /** Sends [message] to the instance [to], or to all others of the group if it is null; [onlyZone] limits it to one zone. */
     public data class Send(
         val to: TargetId?,
         val message: InstanceMessage,
+        val onlyZone: ZoneId? = null,
     ) : InstanceEffect
 
     /** Opens or closes the port. */
--- a/standin/src/main/kotlin/org/buckthornhub/standin/instance/InstanceTask.kt
+++ b/standin/src/main/kotlin/org/buckthornhub/standin/instance/InstanceTask.kt
@@ -23,7 +23,7 @@
     override suspend fun carryOut(effect: InstanceEffect) {
         when (effect) {
             is InstanceEffect.Answer<*> -> complete(effect)
-            is InstanceEffect.Send -> peers.send(effect.to, effect.message)
+            is InstanceEffect.Send -> peers.send(effect)
             is InstanceEffect.Listen -> listener.offer(effect.open)
             is InstanceEffect.Discarded ->
                 logger.warn { "$name threw away ${effect.count} entries that the primary of the newer term does not have" }
--- a/standin/src/main/kotlin/org/buckthornhub/standin/network/DelayedPeers.kt
+++ b/standin/src/main/kotlin/org/buckthornhub/standin/network/DelayedPeers.kt
@@ -5,9 +5,10 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import org.buckthornhub.fleet.ZoneId
+import org.buckthornhub.standin.instance.InstanceEffect
 import org.buckthornhub.standin.instance.InstanceMessage
+import org.buckthornhub.standin.instance.InstanceState
 import org.buckthornhub.standin.instance.InstanceTask
-import org.buckthornhub.target.TargetId
 
 /** Delivers to the [others] in this process; messages to a zone other than [zone] take [betweenZonesMillis]. */
 internal class DelayedPeers(
@@ -16,8 +17,11 @@
     private val betweenZonesMillis: Long,
     private val others: () -> PersistentList<InstanceTask>,
 ) : Peers {
-    override fun send(to: TargetId?, message: InstanceMessage): Unit =
-        others().filter { to == null || it.current().target == to }.forEach { deliver(it, message) }
+    override fun send(effect: InstanceEffect.Send): Unit =
+        others().filter { isMeant(it.current(), effect) }.forEach { deliver(it, effect.message) }
+
+    private fun isMeant(other: InstanceState, effect: InstanceEffect.Send): Boolean =
+        (effect.to == null || other.target == effect.to) && (effect.onlyZone == null || other.zone == effect.onlyZone)
 
     private fun deliver(other: InstanceTask, message: InstanceMessage) {
         if (other.current().zone == zone) {
