--- /dev/null
+++ b/daemon/src/test/kotlin/org/buckthornhub/caller/SchemaCase.kt
@@ -0,0 +1,11 @@
+package org.buckthornhub.caller
+
+import kotlinx.serialization.descriptors.SerialDescriptor
+
+/** A schema of the document, and the body that it describes. */
+internal data class SchemaCase(
+    val name: String,
+    val body: SerialDescriptor,
+) {
+    override fun toString(): String = name
+}
