--- a/load/src/test/kotlin/org/buckthornhub/load/check/FindingsTest.kt
+++ b/load/src/test/kotlin/org/buckthornhub/load/check/FindingsTest.kt
@@ -48,6 +48,11 @@
                     listOf(insert("a", "k", 0), insert("b", "k", 10, unknown)),
                     listOf(logOf(listOf("a" to "insert k a"))),
                 ),
+                CheckCase(
+                    "a request that was renamed on the way",
+                    listOf(append(1, 0)),
+                    listOf(logOf(listOf("org/r1" to "append org/s/0 org/s.1"))),
+                ),
             )
 
         val wrong =
