Decide the control quorum's replicated log and state machine

Pure deciders; what must be durable is derived as the difference of two states, so that no effect can leave before its sync. Not yet tested.

--- a/core/src/main/kotlin/org/buckthornhub/control/ControlState.kt
+++ b/core/src/main/kotlin/org/buckthornhub/control/ControlState.kt
@@ -10,4 +10,7 @@
 public data class ControlState(
     val configuration: Configuration = Configuration(),
     val leaderships: Map<GroupId, GroupLeadership> = emptyMap(),
-)
+) {
+    /** Grows by one with each accepted change of whatever kind. */
+    public val revision: Long get() = configuration.revision
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/buckthornhub/control/ControlStateMachine.kt
@@ -0,0 +1,97 @@
+package org.buckthornhub.control
+
+import org.buckthornhub.group.Term
+import org.buckthornhub.organisation.Configuration
+import org.buckthornhub.organisation.KeyRecord
+
+/** Applies commands one after another; the same commands in the same order give the same state on every VM. */
+public object ControlStateMachine {
+    /** Outcomes that are remembered for resends. */
+    public const val REMEMBERED_OUTCOMES: Int = 1_024
+
+    /** The state after [command], and what it came to. */
+    public fun apply(state: MachineState, command: ControlCommand): Pair<MachineState, CommandOutcome> = when (command) {
+        is ControlCommand.ChangePlans -> once(state, command.changeId) { changePlans(state, command) }
+        is ControlCommand.ChangeGrants -> once(state, command.changeId) { changeGrants(state, command) }
+        is ControlCommand.GiveKey -> once(state, command.changeId) { giveKey(state, command) }
+        is ControlCommand.WithdrawKey -> withdrawKey(state, command)
+        is ControlCommand.SetLeadership -> setLeadership(state, command)
+        is ControlCommand.NoOp -> state to CommandOutcome.Accepted(state.control.revision)
+    }
+
+    private fun once(
+        state: MachineState,
+        changeId: ChangeId,
+        change: () -> Pair<MachineState, CommandOutcome>,
+    ): Pair<MachineState, CommandOutcome> {
+        state.outcomes[changeId]?.let { return state to it }
+        val (next, outcome) = change()
+        val outcomes = next.outcomes + (changeId to outcome)
+        val kept = if (outcomes.size > REMEMBERED_OUTCOMES) outcomes - outcomes.keys.first() else outcomes
+        return next.copy(outcomes = kept) to outcome
+    }
+
+    private fun changePlans(state: MachineState, command: ControlCommand.ChangePlans): Pair<MachineState, CommandOutcome> {
+        val current = state.control.configuration
+        conflict("plans", current.plans.number, command.plans.number, state.lastPlans)?.let { return state to it }
+        val faults = ListChecks.faultsOf(command.plans, current.grants)
+        if (faults.isNotEmpty()) return state to CommandOutcome.Invalid(faults)
+        return accept(state.copy(lastPlans = command.changeId), current.copy(plans = command.plans))
+    }
+
+    private fun changeGrants(state: MachineState, command: ControlCommand.ChangeGrants): Pair<MachineState, CommandOutcome> {
+        val current = state.control.configuration
+        conflict("grants", current.grants.number, command.grants.number, state.lastGrants)?.let { return state to it }
+        val faults = ListChecks.faultsOf(command.grants, current.plans)
+        if (faults.isNotEmpty()) return state to CommandOutcome.Invalid(faults)
+        return accept(state.copy(lastGrants = command.changeId), current.copy(grants = command.grants))
+    }
+
+    private fun conflict(list: String, current: Long, proposed: Long, last: ChangeId?): CommandOutcome.Conflict? {
+        if (proposed == current + 1) return null
+        val winner = last?.let { "change $it made the list of $list number $current" } ?: "the list of $list is number $current"
+        return CommandOutcome.Conflict("$winner; the next one is ${current + 1}, not $proposed")
+    }
+
+    private fun giveKey(state: MachineState, command: ControlCommand.GiveKey): Pair<MachineState, CommandOutcome> {
+        val current = state.control.configuration
+        val faults = ListChecks.faultsOf(command)
+        if (faults.isNotEmpty()) return state to CommandOutcome.Invalid(faults)
+        val holder = current.keys.values.firstOrNull { it.keyName == command.keyName } ?: current.keys[command.digest]
+        if (holder != null) return state to CommandOutcome.Conflict(describe(holder))
+        val record = KeyRecord(command.keyName, command.organisation)
+        return accept(state, current.copy(keys = current.keys + (command.digest to record)))
+    }
+
+    private fun describe(holder: KeyRecord): String {
+        val what = if (holder.withdrawn) "was withdrawn" else "was given"
+        return "key ${holder.keyName} $what for organisation ${holder.organisation}; a name is used once"
+    }
+
+    private fun withdrawKey(state: MachineState, command: ControlCommand.WithdrawKey): Pair<MachineState, CommandOutcome> {
+        val current = state.control.configuration
+        val (digest, record) = current.keys.entries.firstOrNull { it.value.keyName == command.keyName }
+            ?: return state to CommandOutcome.Invalid(listOf("no key named ${command.keyName} was given"))
+        if (record.withdrawn) return state to CommandOutcome.Accepted(current.revision)
+        return accept(state, current.copy(keys = current.keys + (digest to record.copy(withdrawn = true))))
+    }
+
+    private fun setLeadership(state: MachineState, command: ControlCommand.SetLeadership): Pair<MachineState, CommandOutcome> {
+        val leadership = command.leadership
+        val current = state.control.leaderships[leadership.group]
+        if (current == leadership) return state to CommandOutcome.Accepted(state.control.revision)
+        val term = current?.term ?: Term.NONE
+        if (term != command.expected) {
+            return state to CommandOutcome.Conflict("group ${leadership.group} is in term ${term.value}, led by ${current?.primary}")
+        }
+        if (leadership.term < term) return state to CommandOutcome.Invalid(listOf("term ${leadership.term.value} is before ${term.value}"))
+        val control = state.control.copy(leaderships = state.control.leaderships + (leadership.group to leadership))
+        return accept(state.copy(control = control), control.configuration)
+    }
+
+    private fun accept(state: MachineState, configuration: Configuration): Pair<MachineState, CommandOutcome> {
+        val revision = state.control.revision + 1
+        val control = state.control.copy(configuration = configuration.copy(revision = revision))
+        return state.copy(control = control) to CommandOutcome.Accepted(revision)
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/buckthornhub/replication/ReplicationDecider.kt
@@ -0,0 +1,32 @@
+package org.buckthornhub.replication
+
+import kotlinx.collections.immutable.persistentListOf
+import org.buckthornhub.decision.Decider
+import org.buckthornhub.decision.Decision
+
+/** The replicated log of one member: elections, replication, snapshots and members, without I/O. */
+public class ReplicationDecider : Decider<ReplicationState, ReplicationMessage, ReplicationEffect> {
+    override fun decide(
+        state: ReplicationState,
+        message: ReplicationMessage,
+        nowMillis: Long,
+    ): Decision<ReplicationState, ReplicationEffect> {
+        val step = step(Step(state), message, nowMillis)
+        val change = DurableRecords.change(state.durable, step.state.durable) ?: return Decision(step.state, step.effects)
+        return Decision(step.state, persistentListOf(change).addAll(step.effects))
+    }
+
+    private fun step(start: Step, message: ReplicationMessage, nowMillis: Long): Step = when (message) {
+        is ReplicationMessage.Tick -> tick(start, nowMillis)
+        is ReplicationMessage.Received -> Reception.receive(start, message.message, nowMillis)
+        is ReplicationMessage.Propose -> Proposals.propose(start, message)
+        is ReplicationMessage.Flush -> Proposals.flush(start, nowMillis)
+        is ReplicationMessage.Confirm -> Proposals.confirm(start, message.token, nowMillis)
+    }
+
+    private fun tick(start: Step, nowMillis: Long): Step = when {
+        !start.state.isMember && start.state.role !is Role.Leader -> Formation.tick(start, nowMillis)
+        start.state.role is Role.Leader -> Leading.tick(start, nowMillis)
+        else -> Election.tick(start, nowMillis)
+    }
+}
