Give every daemon the control state over a feed, and operators their routes

Storage folder with checksummed records, the task of a control VM, long polls with deltas and a freshness that only a majority renews, withdrawals that work at any daemon. The static configuration stays for a daemon without control.members.

--- /dev/null
+++ b/core/src/main/kotlin/org/buckthornhub/control/ControlDelta.kt
@@ -0,0 +1,26 @@
+package org.buckthornhub.control
+
+import kotlinx.serialization.Serializable
+import org.buckthornhub.group.GroupId
+import org.buckthornhub.group.GroupLeadership
+import org.buckthornhub.organisation.Grant
+import org.buckthornhub.organisation.KeyDigest
+import org.buckthornhub.organisation.KeyRecord
+import org.buckthornhub.organisation.OrganisationId
+import org.buckthornhub.organisation.PlanId
+
+/** What changed in the control state from revision [from] to revision [to]. Keys and leaderships are never removed. */
+@Serializable
+public data class ControlDelta(
+    val from: Long,
+    val to: Long,
+    val plansNumber: Long,
+    val grantsNumber: Long,
+    val plans: Map<OrganisationId, PlanId> = emptyMap(),
+    val plansRemoved: Set<OrganisationId> = emptySet(),
+    val grants: Map<PlanId, Grant> = emptyMap(),
+    val grantsRemoved: Set<PlanId> = emptySet(),
+    val openGroups: Set<GroupId>? = null,
+    val keys: Map<KeyDigest, KeyRecord> = emptyMap(),
+    val leaderships: Map<GroupId, GroupLeadership> = emptyMap(),
+)
--- /dev/null
+++ b/core/src/main/kotlin/org/buckthornhub/control/FeedDecider.kt
@@ -0,0 +1,120 @@
+package org.buckthornhub.control
+
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentList
+import kotlinx.collections.immutable.toPersistentSet
+import org.buckthornhub.decision.Decider
+import org.buckthornhub.decision.Decision
+import org.buckthornhub.organisation.Configuration
+
+/** Keeps the newest control state of a daemon: highest revision only, and away from sources that a majority left behind. */
+public class FeedDecider : Decider<FeedState, FeedMessage, FeedEffect> {
+    override fun decide(state: FeedState, message: FeedMessage, nowMillis: Long): Decision<FeedState, FeedEffect> = when (message) {
+        is FeedMessage.Start -> ask(state, delayMillis = 0)
+        is FeedMessage.Answered -> if (message.attempt == state.attempt) answered(state, message, nowMillis) else Decision(state)
+        is FeedMessage.Failed -> if (message.attempt == state.attempt) failed(state) else Decision(state)
+        is FeedMessage.Peers -> peers(state, message.addresses)
+        is FeedMessage.Withdraw -> withdraw(state, message.keyNames)
+        is FeedMessage.Discard -> discard(state, message.keyNames)
+        is FeedMessage.Remind -> remind(state)
+    }
+
+    private fun answered(state: FeedState, message: FeedMessage.Answered, nowMillis: Long): Decision<FeedState, FeedEffect> {
+        val answer = message.answer
+        val received = receive(state, message)
+        val freshMillis = freshMillisOf(message)
+        val isStale = freshMillis == null || nowMillis - freshMillis > STALE_MILLIS
+        val merged = withdraw(received, answer.withdrawn.orEmpty())
+        val next = if (isStale) merged.state.copy(position = state.position + 1) else merged.state.copy(failures = 0)
+        // A stale source that answers at once must not be asked in a loop.
+        val asked = ask(next, delayMillis = if (isStale && answer.heldMillis < RETRY_MILLIS) RETRY_MILLIS else 0)
+        val events = withdrawnSince(state.configuration, asked.state.configuration)
+        return Decision(
+            asked.state,
+            persistentListOf<FeedEffect>().addAll(events).addAll(merged.effects - events.toSet()).addAll(asked.effects),
+        )
+    }
+
+    private fun receive(state: FeedState, message: FeedMessage.Answered): FeedState {
+        val answer = message.answer
+        val known = state.view.state
+        val offered = answer.whole ?: answer.delta?.let { ControlDeltas.apply(known, it) }
+        val newer = offered?.takeIf { it.revision > known.revision } ?: known
+        // A source that is behind this daemon says nothing about how fresh the newer state is.
+        val freshMillis = freshMillisOf(message)?.takeIf { answer.revision >= newer.revision }
+        val view = ReplicatedView(newer, maxOf(state.view.freshMillis, freshMillis ?: 0))
+        if (newer === known) return state.copy(view = view)
+        val history = state.history.put(known.revision, known)
+        val kept = if (history.size > KEPT_REVISIONS) history.remove(history.keys.min()) else history
+        return refreshed(state.copy(view = view, history = kept))
+    }
+
+    // Counted from the question, so that time on the way makes the answer older, never fresher.
+    private fun freshMillisOf(message: FeedMessage.Answered): Long? =
+        message.answer.ageMillis?.let { message.askedMillis + message.answer.heldMillis - it }
+
+    private fun failed(state: FeedState): Decision<FeedState, FeedEffect> =
+        ask(state.copy(position = state.position + 1, failures = state.failures + 1), delayMillis = RETRY_MILLIS)
+
+    private fun ask(state: FeedState, delayMillis: Long): Decision<FeedState, FeedEffect> {
+        val source = state.source ?: return Decision(state)
+        val next = state.copy(attempt = state.attempt + 1)
+        return Decision(next, persistentListOf(FeedEffect.Ask(next.attempt, source, state.view.state.revision, delayMillis)))
+    }
+
+    private fun peers(state: FeedState, addresses: List<String>): Decision<FeedState, FeedEffect> {
+        val next = state.copy(peers = (addresses - state.control).toPersistentList())
+        return if (state.source == null) ask(next, delayMillis = 0) else Decision(next)
+    }
+
+    private fun withdraw(state: FeedState, keyNames: Set<String>): Decision<FeedState, FeedEffect> {
+        val fresh = keyNames - state.withdrawn - recorded(state)
+        if (fresh.isEmpty()) return Decision(state)
+        val next = refreshed(state.copy(withdrawn = state.withdrawn.addAll(fresh)))
+        val effects = persistentListOf<FeedEffect>(FeedEffect.SaveWithdrawn(next.withdrawn))
+        return Decision(next, effects.addAll(withdrawnSince(state.configuration, next.configuration)))
+    }
+
+    private fun discard(state: FeedState, keyNames: Set<String>): Decision<FeedState, FeedEffect> {
+        val next = refreshed(state.copy(withdrawn = state.withdrawn.removeAll(keyNames)))
+        return Decision(next, persistentListOf(FeedEffect.SaveWithdrawn(next.withdrawn)))
+    }
+
+    private fun remind(state: FeedState): Decision<FeedState, FeedEffect> =
+        if (state.withdrawn.isEmpty()) Decision(state) else Decision(state, persistentListOf(FeedEffect.RecordWithdrawn(state.withdrawn)))
+
+    private fun refreshed(state: FeedState): FeedState {
+        val open = (state.withdrawn - recorded(state)).toPersistentSet()
+        return state.copy(withdrawn = open, configuration = withWithdrawn(state.view.state.configuration, open))
+    }
+
+    private fun recorded(state: FeedState): Set<String> = withdrawnIn(state.view.state.configuration).map { it.keyName }.toSet()
+
+    private fun withWithdrawn(configuration: Configuration, names: Set<String>): Configuration {
+        if (names.isEmpty()) return configuration
+        return configuration.copy(
+            keys = configuration.keys.mapValues { (_, key) ->
+                if (key.keyName in
+                    names
+                ) {
+                    key.copy(withdrawn = true)
+                } else {
+                    key
+                }
+            },
+        )
+    }
+
+    private fun withdrawnSince(old: Configuration, new: Configuration): List<FeedEffect> {
+        val keys = withdrawnIn(new).toSet() - withdrawnIn(old).toSet()
+        return if (keys.isEmpty()) emptyList() else listOf(FeedEffect.KeysWithdrawn(keys))
+    }
+
+    private fun withdrawnIn(configuration: Configuration) = configuration.keys.values.filter { it.withdrawn }
+
+    private companion object {
+        const val STALE_MILLIS = 1_000L
+        const val RETRY_MILLIS = 200L
+        const val KEPT_REVISIONS = 256
+    }
+}
--- a/core/src/main/kotlin/org/buckthornhub/organisation/Configuration.kt
+++ b/core/src/main/kotlin/org/buckthornhub/organisation/Configuration.kt
@@ -14,6 +14,9 @@
     val grants: GrantList = GrantList(),
     val keys: Map<KeyDigest, KeyRecord> = emptyMap(),
 ) {
+    /** Whether a key of this name was given and withdrawn. */
+    public fun isWithdrawn(keyName: String): Boolean = keys.values.any { it.keyName == keyName && it.withdrawn }
+
     /** The grant of [organisation], or null if it holds no plan that is granted anything. */
     public fun grantOf(organisation: OrganisationId): Grant? = plans.plans[organisation]?.let { grants.grants[it] }
 }
--- a/core/src/main/kotlin/org/buckthornhub/replication/Commitment.kt
+++ b/core/src/main/kotlin/org/buckthornhub/replication/Commitment.kt
@@ -46,17 +46,17 @@
         val round = majorityValue(start.state, leader.round) { leader.followers[it]?.ackedRound ?: 0 }
         if (round <= leader.confirmedRound) return start
         val confirmed = leader.sentMillis[round] ?: nowMillis
+        val isSettled = start.state.commitIndex >= leader.firstIndex
         val step = start.updateLeader {
             copy(
                 confirmedRound = round,
                 confirmedMillis = confirmed,
                 sentMillis = sentMillis.keys.filter { it <= round }.fold(sentMillis) { map, key -> map.remove(key) },
                 followers = followers.entries.fold(followers) { map, (member, it) ->
-                    if (it.echo != null && it.echoRound <= round) map.put(member, it.copy(confirmedEcho = it.echo)) else map
+                    if (isSettled && it.echo != null && it.echoRound <= round) map.put(member, it.copy(confirmedEcho = it.echo)) else map
                 },
             )
         }
-        val isSettled = step.state.commitIndex >= leader.firstIndex
         return if (isSettled) Proposals.answerConfirmations(step.update { copy(freshMillis = confirmed) }, round) else step
     }
 
--- a/core/src/main/kotlin/org/buckthornhub/replication/Election.kt
+++ b/core/src/main/kotlin/org/buckthornhub/replication/Election.kt
@@ -69,7 +69,7 @@
         val state = start.state
         val log = state.log
         return state.otherMembers.fold(start) { step, member ->
-            step.send(member, PeerMessage.VoteRequest(state.self, term, log.lastIndex, log.lastTerm, isPreVote, isCounted = true))
+            step.send(member, PeerMessage.VoteRequest(state.self, term, log.lastIndex, log.lastTerm, isPreVote, to = member))
         }
     }
 
@@ -81,14 +81,14 @@
 
     private fun mayVote(state: ReplicationState, message: PeerMessage.VoteRequest): Boolean {
         val isFree = state.durable.votedFor == null || state.durable.votedFor == message.from
-        return message.term == state.durable.term && isFree && state.role is Role.Follower && isUpToDate(state, message)
+        return message.term == state.durable.term && isFree && isUpToDate(state, message)
     }
 
     // A newcomer votes only for a candidate whose log has it as a member; that log shows that it had caught up.
     private fun isUpToDate(state: ReplicationState, message: PeerMessage.VoteRequest): Boolean {
         val log = state.log
         val isNewer = message.lastTerm > log.lastTerm || message.lastTerm == log.lastTerm && message.lastIndex >= log.lastIndex
-        return isNewer && message.isCounted && log.members.isNotEmpty()
+        return isNewer && message.to == state.self && log.members.isNotEmpty()
     }
 
     private fun answer(step: Step, message: PeerMessage.VoteRequest, isGranted: Boolean): Step {
--- a/core/src/main/kotlin/org/buckthornhub/replication/PeerMessage.kt
+++ b/core/src/main/kotlin/org/buckthornhub/replication/PeerMessage.kt
@@ -30,7 +30,7 @@
      * Asks for a vote in [term].
      *
      * @property isPreVote asks only whether the vote would be given; nothing is promised
-     * @property isCounted true if the receiver is a member in the log of the candidate
+     * @property to the member that is asked; its VM with another disk gives no vote
      */
     @Serializable
     @SerialName("vote-request")
@@ -40,7 +40,7 @@
         val lastIndex: Long,
         val lastTerm: Long,
         val isPreVote: Boolean,
-        val isCounted: Boolean,
+        val to: Member,
     ) : PeerMessage
 
     /** Answers a [VoteRequest]; [term] is the term asked for if granted, else that of the sender. */
--- /dev/null
+++ b/daemon/src/main/kotlin/org/buckthornhub/control/ControlAssembly.kt
@@ -0,0 +1,98 @@
+package org.buckthornhub.control
+
+import com.github.michaelbull.result.getOrElse
+import kotlinx.collections.immutable.toPersistentList
+import kotlinx.coroutines.CoroutineScope
+import org.buckthornhub.clock.Clock
+import org.buckthornhub.fleet.FleetView
+import org.buckthornhub.fleet.StateSource
+import org.buckthornhub.http.HttpLink
+import org.buckthornhub.http.PeerJson
+import org.buckthornhub.http.Route
+import org.buckthornhub.organisation.Configuration
+import org.buckthornhub.organisation.KeyRecord
+import org.buckthornhub.organisation.OperatorRoutes
+import org.buckthornhub.organisation.RefuseStaleInterceptor
+import org.buckthornhub.organisation.WithdrawalRoutes
+import org.buckthornhub.organisation.WithdrawalSpread
+import org.buckthornhub.peer.PeerAuthority
+import org.buckthornhub.replication.ReplicationSettings
+import org.buckthornhub.replication.ReplicationState
+import org.buckthornhub.settings.Settings
+import org.buckthornhub.task.Mailbox
+import java.io.File
+
+/**
+ * Builds the part of a daemon that has to do with the control quorum: member or not, it gets the state from it.
+ *
+ * @param onWithdrawn is told of keys as they are withdrawn, so that what their callers have open can be ended
+ */
+internal class ControlAssembly(
+    private val settings: Settings,
+    authority: PeerAuthority,
+    links: HttpLink.Factory,
+    private val clock: Clock,
+    fleet: StateSource<FleetView>,
+    onWithdrawn: Mailbox<Set<KeyRecord>>,
+) {
+    private val control = settings.control
+    private val folder = control.dataFolder?.let { File(it) }
+    private val memberLinks = (control.members - settings.vm).mapValues { (_, address) -> MemberLinkTask(address, links, authority) }
+    private val memberTask = if (settings.vm in control.members) openMember() else null
+
+    /** For the deciders that run on the control leader; null if this is no control VM. */
+    val log: ControlLog? = memberTask
+    val client: ControlClient = RealControlClient(control.members, links, authority, clock)
+    private val commands = ControlCommands(client)
+    private val feed =
+        FeedTask(initialFeed(), { zonePeers(fleet.current()) }, commands, links, authority, WithdrawnFile(folder), onWithdrawn, clock)
+    val view: StateSource<ReplicatedView> = StateSource { feed.view() }
+    val configuration: StateSource<Configuration> = StateSource { feed.current().configuration }
+    val refuseStale: RefuseStaleInterceptor = RefuseStaleInterceptor(view, clock, control.refuseKeysAfterMillis.takeIf { control.members.isNotEmpty() })
+    private val spread = WithdrawalSpread(settings, feed, fleet, commands, links, authority)
+    val routes: List<Route> =
+        FeedRoutes(memberTask ?: feed, feed, authority, clock).routes() +
+            memberTask?.let { ControlRoutes(it, authority).routes() }.orEmpty() +
+            WithdrawalRoutes(settings, feed, authority).routes() +
+            OperatorRoutes(control.operatorSecret, configuration, commands, spread).routes()
+
+    fun start(scope: CoroutineScope) {
+        memberLinks.values.forEach { it.start(scope) }
+        memberTask?.start(scope)
+        feed.start(scope)
+    }
+
+    private fun openMember(): ControlTask {
+        val folder = checkNotNull(folder) { "a control VM needs control.data_folder" }
+        val opened = FolderStorage.open(folder, settings.vm).getOrElse { error(it.detail) }
+        val replication =
+            ReplicationSettings(
+                vms = control.members.keys,
+                heartbeatMillis = control.heartbeatMillis,
+                electionMillis = control.electionMillis,
+            )
+        val seed = clock.wallMillis() xor settings.vm.hashCode().toLong()
+        val state = ReplicationState(opened.self, replication, seed, opened.state)
+        return ControlTask(state, opened.storage, memberLinks, clock)
+    }
+
+    // A daemon without a control quorum stands alone with the configuration of its file.
+    private fun initialFeed(): FeedState {
+        if (control.members.isNotEmpty()) return FeedState(sourcesOf(settings).toPersistentList())
+        val path = settings.initialConfiguration
+        val configuration =
+            if (path == null) Configuration() else PeerJson.decodeFromString(Configuration.serializer(), File(path).readText())
+        return FeedState(view = ReplicatedView(ControlState(configuration), clock.nowMillis()), configuration = configuration)
+    }
+
+    // Each daemon begins with another control VM; a control VM begins with itself.
+    private fun sourcesOf(settings: Settings): List<String> {
+        val members = control.members.entries.toList()
+        val own = members.indexOfFirst { it.key == settings.vm }
+        val first = if (own >= 0) own else Math.floorMod(settings.vm.value.hashCode(), maxOf(members.size, 1))
+        return (members.drop(first) + members.take(first)).map { it.value }
+    }
+
+    private fun zonePeers(view: FleetView): List<String> =
+        view.liveDaemonsOf(settings.zone).filter { it.vm != settings.vm }.map { it.address }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/buckthornhub/control/ControlTask.kt
@@ -0,0 +1,115 @@
+package org.buckthornhub.control
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Result
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.withContext
+import org.buckthornhub.clock.Clock
+import org.buckthornhub.error.ErrorKind
+import org.buckthornhub.error.ProxyError
+import org.buckthornhub.fleet.StateSource
+import org.buckthornhub.fleet.VmId
+import org.buckthornhub.replication.ControlStorage
+import org.buckthornhub.replication.PeerMessage
+import org.buckthornhub.replication.ReplicationDecider
+import org.buckthornhub.replication.ReplicationEffect
+import org.buckthornhub.replication.ReplicationMessage
+import org.buckthornhub.replication.ReplicationState
+import org.buckthornhub.replication.Role
+import org.buckthornhub.task.Mailbox
+import org.buckthornhub.task.Task
+import org.buckthornhub.task.startTicker
+
+/** Owns the replicated log of a control VM, with its disk. */
+internal class ControlTask(
+    initial: ReplicationState,
+    private val storage: ControlStorage,
+    private val links: Map<VmId, Mailbox<PeerMessage>>,
+    private val clock: Clock,
+) : Task<ControlMessage>("control"),
+    ControlLog,
+    FeedSource {
+    private val decider = ReplicationDecider()
+    private val published = MutableStateFlow(initial)
+    private var nextToken = 0L
+    private var proposals: PersistentMap<Long, CompletableDeferred<Result<CommandOutcome, ProxyError>>> = persistentMapOf()
+    private var confirmations: PersistentMap<Long, CompletableDeferred<Result<Long, ProxyError>>> = persistentMapOf()
+
+    override val state: StateSource<ControlState> = StateSource { published.value.machine.control }
+    override val leadership: StateSource<ControlLeadership> = StateSource { leadershipOf(published.value) }
+
+    override fun view(): ReplicatedView = published.value.let { ReplicatedView(it.machine.control, it.freshMillis ?: 0) }
+
+    override suspend fun awaitNewer(revision: Long) {
+        published.first { it.machine.control.revision > revision }
+    }
+
+    override suspend fun propose(command: ControlCommand): Result<CommandOutcome, ProxyError> {
+        val answer = CompletableDeferred<Result<CommandOutcome, ProxyError>>()
+        return if (offer(ControlMessage.Propose(command, answer))) answer.await() else overloaded
+    }
+
+    override suspend fun confirmLeadership(): Result<Long, ProxyError> {
+        val answer = CompletableDeferred<Result<Long, ProxyError>>()
+        return if (offer(ControlMessage.Confirm(answer))) answer.await() else overloaded
+    }
+
+    override suspend fun onStart(scope: CoroutineScope) {
+        scope.startTicker(this, TICK_MILLIS, ControlMessage.Replicate(ReplicationMessage.Tick))
+    }
+
+    override suspend fun handle(message: ControlMessage): Unit = when (message) {
+        is ControlMessage.Replicate -> decide(message.message)
+        is ControlMessage.Propose -> {
+            proposals = proposals.put(++nextToken, message.answer)
+            decide(ReplicationMessage.Propose(nextToken, message.command))
+        }
+        is ControlMessage.Confirm -> {
+            confirmations = confirmations.put(++nextToken, message.answer)
+            decide(ReplicationMessage.Confirm(nextToken))
+        }
+    }
+
+    // The state is published before any answer, so that whoever got an answer reads what it speaks of.
+    private suspend fun decide(message: ReplicationMessage) {
+        val decision = decider.decide(published.value, message, clock.nowMillis())
+        val (durable, others) = decision.effects.partition { it is ReplicationEffect.Persist || it is ReplicationEffect.Rewrite }
+        durable.forEach { carryOut(it) }
+        published.value = decision.state
+        others.forEach { carryOut(it) }
+    }
+
+    private suspend fun carryOut(effect: ReplicationEffect) {
+        when (effect) {
+            is ReplicationEffect.Persist -> withContext(Dispatchers.IO) { storage.append(effect.records) }
+            is ReplicationEffect.Rewrite -> withContext(Dispatchers.IO) { storage.rewrite(effect.records) }
+            is ReplicationEffect.Send -> links[effect.to]?.offer(effect.message)
+            is ReplicationEffect.ScheduleFlush -> offer(ControlMessage.Replicate(ReplicationMessage.Flush))
+            is ReplicationEffect.AnswerProposal -> {
+                proposals[effect.token]?.complete(effect.result)
+                proposals = proposals.remove(effect.token)
+            }
+            is ReplicationEffect.AnswerConfirmation -> {
+                confirmations[effect.token]?.complete(effect.result)
+                confirmations = confirmations.remove(effect.token)
+            }
+        }
+    }
+
+    private fun leadershipOf(state: ReplicationState): ControlLeadership = when (val role = state.role) {
+        is Role.Leader -> ControlLeadership(state.durable.term, state.self.vm, isLeader = true, sinceMillis = role.sinceMillis)
+        is Role.Follower -> ControlLeadership(state.durable.term, role.leader?.vm)
+        is Role.Candidate, is Role.PreCandidate -> ControlLeadership(state.durable.term)
+    }
+
+    private companion object {
+        const val TICK_MILLIS = 10L
+        val overloaded = Err(ProxyError(ErrorKind.NO_QUORUM, "this control VM has too much to do"))
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/buckthornhub/control/RecordLine.kt
@@ -0,0 +1,33 @@
+package org.buckthornhub.control
+
+import kotlinx.serialization.SerializationException
+import org.buckthornhub.http.PeerJson
+import org.buckthornhub.replication.DurableRecord
+import java.util.zip.CRC32C
+
+/** One record as a line of text: its CRC32C in hexadecimal, a space, and its JSON. */
+internal object RecordLine {
+    private const val HEX = 16
+    private const val CHECKSUM_LENGTH = 8
+
+    fun encode(record: DurableRecord): String {
+        val json = PeerJson.encodeToString(DurableRecord.serializer(), record)
+        return "${checksumOf(json)} $json\n"
+    }
+
+    /** The record of [line] without its end, or null if it is damaged. */
+    fun decode(line: String): DurableRecord? {
+        val json = line.drop(CHECKSUM_LENGTH + 1)
+        if (line.take(CHECKSUM_LENGTH) != checksumOf(json)) return null
+        return try {
+            PeerJson.decodeFromString(DurableRecord.serializer(), json)
+        } catch (e: SerializationException) {
+            null
+        }
+    }
+
+    private fun checksumOf(json: String): String {
+        val checksum = CRC32C().apply { update(json.toByteArray()) }
+        return checksum.value.toString(HEX).padStart(CHECKSUM_LENGTH, '0')
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/buckthornhub/control/WithdrawnFile.kt
@@ -0,0 +1,32 @@
+package org.buckthornhub.control
+
+import kotlinx.serialization.builtins.SetSerializer
+import kotlinx.serialization.builtins.serializer
+import org.buckthornhub.http.PeerJson
+import java.io.File
+import java.nio.channels.FileChannel
+import java.nio.file.Files
+import java.nio.file.StandardCopyOption
+import java.nio.file.StandardOpenOption
+
+/** Keeps the withdrawals that the quorum has not recorded; without a [folder] they last as long as the process. */
+internal class WithdrawnFile(private val folder: File?) {
+    fun load(): Set<String> {
+        val file = folder?.let { File(it, NAME) }?.takeIf { it.exists() } ?: return emptySet()
+        return PeerJson.decodeFromString(serializer, file.readText())
+    }
+
+    fun save(keyNames: Set<String>) {
+        if (folder == null) return
+        Files.createDirectories(folder.toPath())
+        val fresh = File(folder, "$NAME.new").toPath()
+        Files.writeString(fresh, PeerJson.encodeToString(serializer, keyNames))
+        FileChannel.open(fresh, StandardOpenOption.WRITE).use { it.force(true) }
+        Files.move(fresh, folder.toPath().resolve(NAME), StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING)
+    }
+
+    private companion object {
+        const val NAME = "withdrawn.json"
+        val serializer = SetSerializer(String.serializer())
+    }
+}
--- a/daemon/src/main/kotlin/org/buckthornhub/daemon/DaemonAssembly.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/daemon/DaemonAssembly.kt
@@ -5,19 +5,17 @@
 import kotlinx.coroutines.CoroutineScope
 import org.buckthornhub.caller.CallerRoutes
 import org.buckthornhub.clock.SystemClock
-import org.buckthornhub.control.ReplicatedView
+import org.buckthornhub.control.ControlAssembly
 import org.buckthornhub.fleet.FleetAssembly
 import org.buckthornhub.fleet.FleetView
 import org.buckthornhub.fleet.StateSource
 import org.buckthornhub.http.HttpLinks
 import org.buckthornhub.http.HttpServer
-import org.buckthornhub.http.PeerJson
 import org.buckthornhub.lease.HeldLeases
 import org.buckthornhub.limit.Admission
 import org.buckthornhub.limit.AdmitInterceptor
 import org.buckthornhub.organisation.AuthenticateInterceptor
 import org.buckthornhub.organisation.AuthorizeInterceptor
-import org.buckthornhub.organisation.Configuration
 import org.buckthornhub.peer.PeerAuthority
 import org.buckthornhub.platform.PlatformRoutes
 import org.buckthornhub.proxy.Proxy
@@ -28,7 +26,6 @@
 import org.buckthornhub.settings.Settings
 import org.buckthornhub.target.ExecuteInterceptor
 import org.buckthornhub.target.TargetAssembly
-import java.io.File
 
 /** Builds the tasks of one daemon and connects them. */
 internal class DaemonAssembly(private val settings: Settings) {
@@ -37,33 +34,30 @@
 
     /** Starts every task in [scope], then listens. */
     fun start(scope: CoroutineScope) {
-        val configuration = initialConfiguration()
         val authority = PeerAuthority(settings.fleetSecret)
         val fleet = FleetAssembly(settings, authority, HttpLinks, clock)
-        val targets = TargetAssembly(settings, clock, fleet.view, StateSource { ReplicatedView() }, StateSource { HeldLeases() })
+        val control = ControlAssembly(settings, authority, HttpLinks, clock, fleet.view, onWithdrawn = { true })
+        val targets = TargetAssembly(settings, clock, fleet.view, control.view, StateSource { HeldLeases() })
         fleet.start(scope)
+        control.start(scope)
         targets.start(scope)
-        val proxy = Proxy(interceptors(StateSource { configuration }, fleet.view, targets))
+        val proxy = Proxy(interceptors(control, fleet.view, targets))
         val routes =
             CallerRoutes(proxy, sessionCodec, clock, settings.defaultDeadlineMillis).routes() +
                 fleet.routes +
+                control.routes +
                 targets.routes() +
                 PlatformRoutes { true }.routes()
         HttpServer(settings.host, settings.port, routes, settings.maxBodyBytes).start()
     }
 
-    private fun interceptors(configuration: StateSource<Configuration>, fleet: StateSource<FleetView>, targets: TargetAssembly) =
-        persistentListOf(
-            AuthenticateInterceptor(configuration),
-            ResumeSessionInterceptor(sessionCodec),
-            AuthorizeInterceptor(configuration),
-            AdmitInterceptor(Admission { _, _, _ -> Ok(0) }),
-            RouteInterceptor(ReplicaRoutePolicy(), fleet, settings.zone, clock),
-            ExecuteInterceptor(targets.gateway),
-        )
-
-    private fun initialConfiguration(): Configuration {
-        val path = settings.initialConfiguration ?: return Configuration()
-        return PeerJson.decodeFromString(Configuration.serializer(), File(path).readText())
-    }
+    private fun interceptors(control: ControlAssembly, fleet: StateSource<FleetView>, targets: TargetAssembly) = persistentListOf(
+        control.refuseStale,
+        AuthenticateInterceptor(control.configuration),
+        ResumeSessionInterceptor(sessionCodec),
+        AuthorizeInterceptor(control.configuration),
+        AdmitInterceptor(Admission { _, _, _ -> Ok(0) }),
+        RouteInterceptor(ReplicaRoutePolicy(), fleet, settings.zone, clock),
+        ExecuteInterceptor(targets.gateway),
+    )
 }
--- /dev/null
+++ b/daemon/src/main/kotlin/org/buckthornhub/organisation/WithdrawalRoutes.kt
@@ -0,0 +1,38 @@
+package org.buckthornhub.organisation
+
+import io.ktor.http.HttpMethod
+import kotlinx.serialization.SerializationException
+import org.buckthornhub.caller.errorReply
+import org.buckthornhub.control.FeedTask
+import org.buckthornhub.error.ErrorKind
+import org.buckthornhub.error.ProxyError
+import org.buckthornhub.http.HttpReply
+import org.buckthornhub.http.HttpRequest
+import org.buckthornhub.http.PeerJson
+import org.buckthornhub.http.Route
+import org.buckthornhub.peer.PeerAuthority
+import org.buckthornhub.settings.Settings
+
+/** Takes withdrawals from other daemons, and confirms them once they are in force here. */
+internal class WithdrawalRoutes(
+    private val settings: Settings,
+    private val feed: FeedTask,
+    private val authority: PeerAuthority,
+) {
+    fun routes(): List<Route> = listOf(Route(HttpMethod.Post, PATH, authority.guard { withdraw(it) }))
+
+    private suspend fun withdraw(request: HttpRequest): HttpReply {
+        val body =
+            try {
+                PeerJson.decodeFromString(WithdrawalBody.serializer(), request.body)
+            } catch (e: SerializationException) {
+                return errorReply(ProxyError(ErrorKind.MALFORMED_REQUEST, e.message.orEmpty().lineSequence().first()))
+            }
+        feed.withdraw(body.keyNames)
+        return HttpReply(status = 200, body = PeerJson.encodeToString(DaemonName.serializer(), DaemonName(settings.vm, settings.zone)))
+    }
+
+    internal companion object {
+        const val PATH = "/internal/keys/withdraw"
+    }
+}
--- a/daemon/src/main/kotlin/org/buckthornhub/settings/SettingDefinitions.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/settings/SettingDefinitions.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentListOf
+import org.buckthornhub.control.ControlSettingDefinitions
 
 /** Every setting of the daemon, in the order of the reference in docs/OPERATING.md. */
 public object SettingDefinitions {
@@ -42,9 +43,9 @@
                 "control.initial_configuration",
                 SettingKind.Text,
                 null,
-                "JSON file with the lists and keys of a first start.",
+                "JSON file with the lists and keys of a daemon without control.members.",
                 isOptional = true,
             ),
             SettingDefinition("log.format", SettingKind.Choice(listOf("text", "json")), "text", "Form of the log lines on standard error."),
-        )
+        ).addAll(ControlSettingDefinitions.ALL)
 }
--- a/daemon/src/main/kotlin/org/buckthornhub/settings/Settings.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/settings/Settings.kt
@@ -1,5 +1,6 @@
 package org.buckthornhub.settings
 
+import org.buckthornhub.control.ControlSettings
 import org.buckthornhub.fleet.VmId
 import org.buckthornhub.fleet.ZoneId
 
@@ -15,4 +16,5 @@
     val maxBodyBytes: Long,
     val logFormat: LogFormat,
     val fleetSeeds: List<String> = emptyList(),
+    val control: ControlSettings = ControlSettings(),
 )
--- a/daemon/src/main/kotlin/org/buckthornhub/settings/SettingsLoader.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/settings/SettingsLoader.kt
@@ -14,6 +14,7 @@
 import net.peanuuutz.tomlkt.TomlLiteral
 import net.peanuuutz.tomlkt.TomlNull
 import net.peanuuutz.tomlkt.TomlTable
+import org.buckthornhub.control.ControlSettings
 import org.buckthornhub.fleet.VmId
 import org.buckthornhub.fleet.ZoneId
 
@@ -50,10 +51,17 @@
         val known = SettingDefinitions.ALL.associateBy { it.key }
         val unknown = (found.keys - known.keys).map { SettingFault(it, "an unknown key", "one of the settings in docs/OPERATING.md") }
         val wrong = SettingDefinitions.ALL.mapNotNull { faultOf(it, found) }
-        val faults = (unknown + wrong).toPersistentList()
+        val faults = (unknown + wrong).ifEmpty { memberFaults(ValueReader(found)) }.toPersistentList()
         return if (faults.isEmpty()) Ok(settingsOf(ValueReader(found))) else Err(faults)
     }
 
+    private fun memberFaults(values: ValueReader): List<SettingFault> {
+        val isMember = values.texts("control.members").any { ControlSettings.memberOf(it)?.first?.value == values.text("vm") }
+        val isFolderMissing = isMember && values.textOrNull("control.data_folder") == null
+        val folder = SettingFault("control.data_folder", "nothing", "a folder, as this VM is named in control.members")
+        return ControlSettings.faultsOf(values.texts("control.members")) + listOfNotNull(folder.takeIf { isFolderMissing })
+    }
+
     private fun faultOf(definition: SettingDefinition, found: Map<String, Any?>): SettingFault? {
         if (definition.key !in found) {
             val isMissing = definition.default == null && !definition.isOptional
@@ -63,6 +71,15 @@
         return if (definition.kind.accept(value) == null) SettingFault(definition.key, "$value", definition.kind.allowed) else null
     }
 
+    private fun controlOf(values: ValueReader): ControlSettings = ControlSettings(
+        members = values.texts("control.members").mapNotNull { ControlSettings.memberOf(it) }.toMap(),
+        dataFolder = values.textOrNull("control.data_folder"),
+        heartbeatMillis = values.whole("control.heartbeat_ms"),
+        electionMillis = values.whole("control.election_ms"),
+        operatorSecret = values.textOrNull("operator.secret"),
+        refuseKeysAfterMillis = values.whole("keys.cut_off_after_ms").takeIf { values.text("keys.cut_off_policy") == "refuse" },
+    )
+
     private fun settingsOf(values: ValueReader): Settings = Settings(
         vm = VmId(values.text("vm")),
         zone = ZoneId(values.text("zone")),
@@ -74,5 +91,6 @@
         maxBodyBytes = values.whole("listen.max_body_bytes"),
         logFormat = LogFormat.valueOf(values.text("log.format").uppercase()),
         fleetSeeds = values.texts("fleet.seeds"),
+        control = controlOf(values),
     )
 }
--- /dev/null
+++ b/runtime/src/main/kotlin/org/buckthornhub/organisation/wire/GrantsBody.kt
@@ -0,0 +1,12 @@
+package org.buckthornhub.organisation.wire
+
+import kotlinx.serialization.Serializable
+import org.buckthornhub.control.ChangeId
+import org.buckthornhub.organisation.GrantList
+
+/** A new list of grants, whose number is one more than that of the list it replaces. */
+@Serializable
+public data class GrantsBody(
+    val changeId: ChangeId,
+    val list: GrantList,
+)
