Test the replicated log against a single copy; add the operators' commands

The first run failed on withdrawals, which carry no change id; the comparison, not the log, was wrong about them: a withdrawal that finds no key may take effect when a delayed copy arrives after the key was given.

--- a/cli/src/main/kotlin/org/buckthornhub/cli/CommandLine.kt
+++ b/cli/src/main/kotlin/org/buckthornhub/cli/CommandLine.kt
@@ -1,6 +1,9 @@
 package org.buckthornhub.cli
 
+import org.buckthornhub.cli.grant.GrantCommand
+import org.buckthornhub.cli.key.KeyCommand
 import org.buckthornhub.cli.load.LoadCommand
+import org.buckthornhub.cli.plan.PlanCommand
 import org.buckthornhub.cli.statement.StatementCommand
 import org.kohsuke.args4j.Argument
 import org.kohsuke.args4j.spi.SubCommand
@@ -9,10 +12,13 @@
 
 /** The command line of `buckthornhub`. */
 internal class CommandLine {
-    @Argument(required = true, metaVar = "COMMAND", handler = SubCommandHandler::class, usage = "statement, load")
+    @Argument(required = true, metaVar = "COMMAND", handler = SubCommandHandler::class, usage = "statement, load, plan, grant, key")
     @SubCommands(
         SubCommand(name = "statement", impl = StatementCommand::class),
         SubCommand(name = "load", impl = LoadCommand::class),
+        SubCommand(name = "plan", impl = PlanCommand::class),
+        SubCommand(name = "grant", impl = GrantCommand::class),
+        SubCommand(name = "key", impl = KeyCommand::class),
     )
     var command: Command? = null
 }
--- a/core/src/main/kotlin/org/buckthornhub/control/ControlStateMachine.kt
+++ b/core/src/main/kotlin/org/buckthornhub/control/ControlStateMachine.kt
@@ -13,7 +13,13 @@
     public fun apply(state: MachineState, command: ControlCommand): Pair<MachineState, CommandOutcome> = when (command) {
         is ControlCommand.ChangePlans -> once(state, command.changeId) { changePlans(state, command) }
         is ControlCommand.ChangeGrants -> once(state, command.changeId) { changeGrants(state, command) }
-        is ControlCommand.GiveKey -> once(state, command.changeId) { giveKey(state, command) }
+        is ControlCommand.GiveKey -> if (isOtherKey(state, command)) {
+            state to otherKey(command)
+        } else {
+            once(state, command.changeId) {
+                giveKey(state, command)
+            }
+        }
         is ControlCommand.WithdrawKey -> withdrawKey(state, command)
         is ControlCommand.SetLeadership -> setLeadership(state, command)
         is ControlCommand.NoOp -> state to CommandOutcome.Accepted(state.control.revision)
@@ -63,6 +69,13 @@
         return accept(state, current.copy(keys = current.keys + (command.digest to record)))
     }
 
+    // A resend names the same key; without this check a new one would be shown that the fleet does not know.
+    private fun isOtherKey(state: MachineState, command: ControlCommand.GiveKey): Boolean =
+        state.outcomes[command.changeId] is CommandOutcome.Accepted && command.digest !in state.control.configuration.keys
+
+    private fun otherKey(command: ControlCommand.GiveKey) =
+        CommandOutcome.Conflict("change ${command.changeId} was accepted before, with another key or list")
+
     private fun describe(holder: KeyRecord): String {
         val what = if (holder.withdrawn) "was withdrawn" else "was given"
         return "key ${holder.keyName} $what for organisation ${holder.organisation}; a name is used once"
--- /dev/null
+++ b/core/src/test/kotlin/org/buckthornhub/replication/FakeCluster.kt
@@ -0,0 +1,151 @@
+package org.buckthornhub.replication
+
+import com.github.michaelbull.result.get
+import org.buckthornhub.control.CommandOutcome
+import org.buckthornhub.control.ControlCommand
+import org.buckthornhub.control.MachineState
+import org.buckthornhub.fleet.VmId
+import kotlin.random.Random
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+/** Control VMs on a network that loses, doubles, delays and reorders; every choice comes from [random]. */
+internal class FakeCluster(
+    private val random: Random,
+    size: Int = 3,
+    compactAfter: Int = 12,
+) {
+    val vms = (1..size).map { VmId("vm$it") }
+    private val settings = ReplicationSettings(vms = vms.toSet(), compactAfter = compactAfter, batchLimit = 8)
+    private val decider = ReplicationDecider()
+    private var diskCount = 0
+    private var disks = vms.associateWith { newDisk(it) }
+    var nodes: Map<VmId, ReplicationState> = vms.associateWith { boot(it) }
+        private set
+    var packets: List<Packet> = emptyList()
+        private set
+    private var cut: Set<VmId> = emptySet()
+    private var machines: Map<Long, MachineState> = emptyMap()
+    private var tokens: Map<Long, Int> = emptyMap()
+    private var confirmations: Map<Long, Long> = emptyMap()
+    var nowMillis = 0L
+        private set
+    var proposals: List<Proposal> = emptyList()
+        private set
+    val maxAccepted: Long get() = proposals.maxOfOrNull { (it.outcome as? CommandOutcome.Accepted)?.revision ?: 0 } ?: 0
+
+    fun pass(millis: Long) {
+        nowMillis += millis
+        nodes.keys.forEach { step(it, ReplicationMessage.Tick) }
+    }
+
+    fun deliver(index: Int, isDoubled: Boolean = false) {
+        val packet = packets[index]
+        if (!isDoubled) packets = packets.filterIndexed { i, _ -> i != index }
+        if (packet.from !in cut && packet.to !in cut) step(packet.to, ReplicationMessage.Received(packet.message))
+    }
+
+    fun drop(index: Int) {
+        packets = packets.filterIndexed { i, _ -> i != index }
+    }
+
+    fun propose(command: ControlCommand): Int {
+        proposals = proposals + Proposal(command, maxAccepted)
+        return proposals.lastIndex
+    }
+
+    /** Hands proposal [index], for the first time or again, to [vm]. */
+    fun send(index: Int, vm: VmId) {
+        val token = tokens.size + 1L
+        tokens = tokens + (token to index)
+        step(vm, ReplicationMessage.Propose(token, proposals[index].command))
+    }
+
+    fun confirm(vm: VmId) {
+        val token = -1L - confirmations.size
+        confirmations = confirmations + (token to maxAccepted)
+        step(vm, ReplicationMessage.Confirm(token))
+    }
+
+    fun cutOff(vms: Set<VmId>) {
+        cut = vms
+    }
+
+    fun crash(vm: VmId) {
+        nodes = nodes - vm
+    }
+
+    fun restart(vm: VmId) {
+        if (vm !in nodes) nodes = nodes + (vm to boot(vm))
+    }
+
+    /** Whether every disk belongs to a member, so that one more may be lost without losing a majority of them. */
+    fun isWhole(): Boolean {
+        val leader = nodes.values.filter { it.role is Role.Leader }.maxByOrNull { it.durable.term } ?: return false
+        val isSettled = leader.commitIndex >= leader.log.membersIndex && leader.commitIndex >= (leader.role as Role.Leader).firstIndex
+        return isSettled && leader.log.members == disks.values.map { it.member }.toSet()
+    }
+
+    fun loseDisk(vm: VmId) {
+        crash(vm)
+        disks = disks + (vm to newDisk(vm))
+    }
+
+    /** Carries out one decision, or only a part of it when [crashAfter] effects are done. */
+    fun step(vm: VmId, message: ReplicationMessage, crashAfter: Int? = null) {
+        val state = nodes[vm] ?: return
+        val decision = decider.decide(state, message, nowMillis)
+        val effects = if (crashAfter == null) decision.effects else decision.effects.take(crashAfter)
+        nodes = nodes + (vm to decision.state)
+        if (crashAfter == null) check(decision.state)
+        effects.forEach { carryOut(vm, it) }
+        if (crashAfter != null) {
+            decision.effects.getOrNull(crashAfter)?.let { disks.getValue(vm).tear(it, keptRecords = random.nextInt(2)) }
+            crash(vm)
+        }
+    }
+
+    private fun carryOut(vm: VmId, effect: ReplicationEffect) {
+        when (effect) {
+            is ReplicationEffect.Persist, is ReplicationEffect.Rewrite -> disks.getValue(vm).write(effect)
+            is ReplicationEffect.Send -> packets = (packets + Packet(vm, effect.to, effect.message)).takeLast(MAX_PACKETS)
+            is ReplicationEffect.ScheduleFlush -> step(vm, ReplicationMessage.Flush)
+            is ReplicationEffect.AnswerProposal -> effect.result.get()?.let { answered(tokens.getValue(effect.token), it) }
+            is ReplicationEffect.AnswerConfirmation -> if (effect.result.get() != null) {
+                assertTrue(
+                    nodes.getValue(vm).machine.control.revision >= confirmations.getValue(effect.token),
+                    "a confirmed leader is behind",
+                )
+            }
+        }
+    }
+
+    private fun answered(index: Int, outcome: CommandOutcome) {
+        val proposal = proposals[index]
+        // A withdrawal carries no change id: it may find no key at first, and take effect later.
+        val isRepeat = proposal.outcome != null && proposal.command !is ControlCommand.WithdrawKey
+        if (isRepeat) return assertEquals(proposal.outcome, outcome, "a resend got another outcome")
+        if (outcome is CommandOutcome.Accepted && proposal.command !is ControlCommand.WithdrawKey) {
+            assertTrue(outcome.revision > proposal.acceptedBefore, "accepted before a change that was answered earlier")
+        }
+        proposals = proposals.toMutableList().also { it[index] = proposal.copy(outcome = outcome) }
+    }
+
+    // Whatever two members applied up to the same index has to be the same.
+    private fun check(state: ReplicationState) {
+        val known = machines[state.commitIndex]
+        if (known == null) machines = machines + (state.commitIndex to state.machine)
+        if (known != null && known !== state.machine) assertEquals(known, state.machine, "two states at index ${state.commitIndex}")
+    }
+
+    private fun newDisk(vm: VmId) = FakeDisk(Member(vm, DiskId("${vm.value}-disk${++diskCount}")))
+
+    private fun boot(vm: VmId): ReplicationState {
+        val disk = disks.getValue(vm)
+        return ReplicationState(disk.member, settings, seed = random.nextLong(), durable = disk.load())
+    }
+
+    private companion object {
+        const val MAX_PACKETS = 60
+    }
+}
--- a/daemon/src/main/kotlin/org/buckthornhub/control/ControlAssembly.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/control/ControlAssembly.kt
@@ -48,7 +48,8 @@
         FeedTask(initialFeed(), { zonePeers(fleet.current()) }, commands, links, authority, WithdrawnFile(folder), onWithdrawn, clock)
     val view: StateSource<ReplicatedView> = StateSource { feed.view() }
     val configuration: StateSource<Configuration> = StateSource { feed.current().configuration }
-    val refuseStale: RefuseStaleInterceptor = RefuseStaleInterceptor(view, clock, control.refuseKeysAfterMillis.takeIf { control.members.isNotEmpty() })
+    val refuseStale: RefuseStaleInterceptor =
+        RefuseStaleInterceptor(view, clock, control.refuseKeysAfterMillis.takeIf { control.members.isNotEmpty() })
     private val spread = WithdrawalSpread(settings, feed, fleet, commands, links, authority)
     val routes: List<Route> =
         FeedRoutes(memberTask ?: feed, feed, authority, clock).routes() +
--- a/daemon/src/main/kotlin/org/buckthornhub/organisation/OperatorRoutes.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/organisation/OperatorRoutes.kt
@@ -35,11 +35,11 @@
 ) {
     fun routes(): List<Route> = listOf(
         route(HttpMethod.Get, "plans") { reply(PlanList.serializer(), configuration.current().plans) },
-        route(HttpMethod.Put, "plans") { request ->
+        route(HttpMethod.Post, "plans") { request ->
             change(request, PlansBody.serializer()) { ControlCommand.ChangePlans(it.changeId, it.list) }
         },
         route(HttpMethod.Get, "grants") { reply(GrantList.serializer(), configuration.current().grants) },
-        route(HttpMethod.Put, "grants") { request ->
+        route(HttpMethod.Post, "grants") { request ->
             change(request, GrantsBody.serializer()) { ControlCommand.ChangeGrants(it.changeId, it.list) }
         },
         route(HttpMethod.Get, "keys") {
