--- a/core/src/main/kotlin/org/buckthornhub/lease/HolderDecider.kt
+++ b/core/src/main/kotlin/org/buckthornhub/lease/HolderDecider.kt
@@ -27,7 +27,8 @@
     }
 
     private fun send(state: HolderState, message: HolderMessage.Renew, nowMillis: Long): Decision<HolderState, HolderEffect> {
-        val changed = message.reports.filterNot { report -> state.reported[report.target]?.isSameAs(report) ?: false }
+        val changed = reportsToSend(state, message.reports)
+        val owned = message.reports.map { it.target }
         val request =
             RenewRequest(
                 holder = state.holder,
@@ -42,10 +43,19 @@
                 nextSequence = request.sequence + 1,
                 sentMillis = state.sentMillis.put(request.sequence, nowMillis),
                 sentReports = state.sentReports.put(request.sequence, changed),
+                reported = state.reported.keys.filter { it !in owned }.fold(state.reported) { all, target -> all.remove(target) },
             )
         return Decision(next, persistentListOf<HolderEffect>(HolderEffect.Send(request)).addAll(wakeToRelease(next, nowMillis)))
     }
 
+    // Only what has changed, and everything once in a while, so that no loss lasts.
+    private fun reportsToSend(state: HolderState, reports: List<TargetReport>): List<TargetReport> =
+        if (state.nextSequence % FULL_REPORT_PERIOD == 0L) {
+            reports
+        } else {
+            reports.filterNot { report -> state.reported[report.target]?.isSameAs(report) ?: false }
+        }
+
     private fun claimOf(state: HolderState, wanted: GroupTerm, nowMillis: Long): LeaseClaim =
         LeaseClaim(wanted, held = state.held.termOf(wanted.group, nowMillis) == wanted.term)
 
@@ -71,4 +81,8 @@
 
     private fun HolderState.settled(sequence: Long): HolderState =
         copy(sentMillis = sentMillis.remove(sequence), sentReports = sentReports.remove(sequence))
+
+    private companion object {
+        const val FULL_REPORT_PERIOD = 64L
+    }
 }
--- /dev/null
+++ b/core/src/main/kotlin/org/buckthornhub/promotion/PromotionDecision.kt
@@ -0,0 +1,6 @@
+package org.buckthornhub.promotion
+
+import org.buckthornhub.decision.Decision
+
+/** What a control leader decides about leases and promotions. */
+internal typealias PromotionDecision = Decision<PromotionState, PromotionEffect>
