Prove leases and promotions over random schedules, and mend what they showed

Cause: the deciders had no test of lost, late and reordered messages, pauses, drifting clocks and changing leaders. The simulation runs three holders, three control VMs and the three instances of a group, with true time beside the local clocks. It found, before this commit: positions of a survey that was asked before an abandoned fence were used (Surveyed now carries when it was asked); an instance that had taken a new term without any entry of it was preferred to one with all writes (positions are now compared without lost entries, as prefixes of one history); and a stale tick could make a control leader forget its grants (a control term ends once).

--- a/core/src/main/kotlin/org/buckthornhub/promotion/Promotion.kt
+++ b/core/src/main/kotlin/org/buckthornhub/promotion/Promotion.kt
@@ -9,6 +9,7 @@
  * A change of the primary of [group] that is under way; there is at most one for each group.
  *
  * @property expected term that is replaced
+ * @property fencedMillis since when nobody counts on a lease of the old term; positions asked for earlier say nothing
  * @property wanted replica that an operator chose, if any
  * @property chosen what is, or is about to be, committed
  * @property stepMillis when the present step was last tried
@@ -20,6 +21,7 @@
     val step: Step,
     val sinceMillis: Long,
     val stepMillis: Long = sinceMillis,
+    val fencedMillis: Long? = null,
     val wanted: TargetId? = null,
     val chosen: GroupLeadership? = null,
     val reply: MoveReply? = null,
--- a/core/src/main/kotlin/org/buckthornhub/promotion/PromotionDecider.kt
+++ b/core/src/main/kotlin/org/buckthornhub/promotion/PromotionDecider.kt
@@ -41,6 +41,7 @@
 
     private fun tick(state: PromotionState, message: PromotionMessage.Tick, nowMillis: Long): PromotionDecision {
         val control = message.control
+        if (control.controlTerm < state.control.controlTerm || control.controlTerm == state.endedTerm) return Decision(state)
         val isSameLeader = control.controlTerm == state.control.controlTerm && control.isLeader == state.control.isLeader
         if (!isSameLeader) return startOver(state, message)
         if (!control.isLeader) return Decision(state)
@@ -58,6 +59,7 @@
         val fresh =
             PromotionState(
                 control = message.control,
+                endedTerm = if (state.control.isLeader) state.control.controlTerm else state.endedTerm,
                 leaderships = message.leaderships.toPersistentMap(),
                 grants = GrantTable(message.control.controlTerm, message.control.sinceMillis),
             )
@@ -154,7 +156,9 @@
 
     private fun surveyed(state: PromotionState, message: PromotionMessage.Surveyed, nowMillis: Long): PromotionDecision {
         val promotion = state.promotions[message.group]
-        if (promotion?.step != Promotion.Step.SURVEY || promotion.expected != message.expected) return Decision(state)
+        val isMeant = promotion?.step == Promotion.Step.SURVEY && promotion.expected == message.expected
+        val fencedMillis = promotion?.fencedMillis ?: return Decision(state)
+        if (!isMeant || message.askedMillis < fencedMillis) return Decision(state)
         return steps.surveyed(state, promotion, message.answers, nowMillis)
     }
 
--- a/core/src/main/kotlin/org/buckthornhub/promotion/PromotionEffect.kt
+++ b/core/src/main/kotlin/org/buckthornhub/promotion/PromotionEffect.kt
@@ -29,6 +29,7 @@
     public data class Survey(
         val group: GroupId,
         val expected: Term,
+        val askedMillis: Long,
         val targets: List<TargetReport>,
         val delayMillis: Long = 0,
     ) : PromotionEffect
--- a/core/src/main/kotlin/org/buckthornhub/promotion/PromotionMessage.kt
+++ b/core/src/main/kotlin/org/buckthornhub/promotion/PromotionMessage.kt
@@ -31,10 +31,11 @@
         val reply: RenewReply,
     ) : PromotionMessage
 
-    /** The instances of [group] that answered a survey for the promotion out of term [expected]. */
+    /** The instances of [group] that answered a survey which began at [askedMillis], for the promotion out of term [expected]. */
     public data class Surveyed(
         val group: GroupId,
         val expected: Term,
+        val askedMillis: Long,
         val answers: List<TargetReport>,
     ) : PromotionMessage
 
--- a/core/src/main/kotlin/org/buckthornhub/promotion/PromotionState.kt
+++ b/core/src/main/kotlin/org/buckthornhub/promotion/PromotionState.kt
@@ -11,8 +11,9 @@
 import org.buckthornhub.target.TargetId
 
 /**
- * What a control leader knows of groups; all but [leaderships] starts anew with each control leader.
+ * What a control leader knows of groups; all but [leaderships] and [endedTerm] starts anew with each control leader.
  *
+ * @property endedTerm last control term in which this VM led and leads no more; nobody leads twice in one term
  * @property ownersMillis when each daemon was last heard of
  * @property confirmed term in which the primary of each group is known to lead
  * @property followMillis when each target was last ordered to follow
@@ -20,6 +21,7 @@
  */
 public data class PromotionState(
     val control: ControlLeadership = ControlLeadership(),
+    val endedTerm: Long = -1,
     val leaderships: PersistentMap<GroupId, GroupLeadership> = persistentMapOf(),
     val grants: GrantTable = GrantTable(),
     val targets: PersistentMap<TargetId, KnownTarget> = persistentMapOf(),
--- a/core/src/main/kotlin/org/buckthornhub/promotion/PromotionSteps.kt
+++ b/core/src/main/kotlin/org/buckthornhub/promotion/PromotionSteps.kt
@@ -31,7 +31,7 @@
     fun surveyed(state: PromotionState, promotion: Promotion, answers: List<TargetReport>, nowMillis: Long): PromotionDecision {
         val current = state.leaderships.getValue(promotion.group)
         val known = state.instancesOf(promotion.group).size
-        val candidate = policy.choose(promotion, current, answers, maxOf(known, settings.instances))
+        val candidate = policy.choose(promotion, current, answers.map { current.kept(it) }, maxOf(known, settings.instances))
         if (candidate == null) {
             return if (promotion.isPlanned) survey(state, promotion, nowMillis, settings.catchUpMillis) else Decision(state)
         }
@@ -89,11 +89,12 @@
     }
 
     private fun survey(state: PromotionState, promotion: Promotion, nowMillis: Long, delayMillis: Long): PromotionDecision {
-        val asked = promotion.copy(step = Promotion.Step.SURVEY, stepMillis = nowMillis)
+        val fencedMillis = promotion.fencedMillis ?: nowMillis
+        val asked = promotion.copy(step = Promotion.Step.SURVEY, stepMillis = nowMillis, fencedMillis = fencedMillis)
         val targets = state.instancesOf(promotion.group).map { it.report }
         return Decision(
             state.with(asked),
-            persistentListOf(PromotionEffect.Survey(promotion.group, promotion.expected, targets, delayMillis)),
+            persistentListOf(PromotionEffect.Survey(promotion.group, promotion.expected, nowMillis, targets, delayMillis)),
         )
     }
 
--- a/core/src/main/kotlin/org/buckthornhub/promotion/SafeCandidatePolicy.kt
+++ b/core/src/main/kotlin/org/buckthornhub/promotion/SafeCandidatePolicy.kt
@@ -25,11 +25,10 @@
     private fun isWanted(candidate: TargetReport, promotion: Promotion): Boolean =
         if (promotion.wanted == null) !candidate.leaving else candidate.target == promotion.wanted
 
-    private fun hasAll(candidate: TargetReport, primary: TargetReport?): Boolean =
-        primary != null && candidate.term == primary.term && candidate.received >= primary.received
+    private fun hasAll(candidate: TargetReport, primary: TargetReport?): Boolean = primary != null && candidate.received >= primary.received
 
     private companion object {
         val newness: Comparator<TargetReport> =
-            compareBy<TargetReport> { it.term }.thenBy { it.received }.thenBy { !it.leaving }.thenByDescending { it.target.value }
+            compareBy<TargetReport> { it.received }.thenBy { !it.leaving }.thenByDescending { it.target.value }
     }
 }
