Run leases and promotions as tasks

Cause: the deciders had no sockets. Change: HealthTask probes the targets that this daemon owns, HolderTask renews all leases in one message a period and at once when something changes, PromotionTask on a control VM confirms its lead once for all the renewals that came before, surveys and orders targets directly, and offers the new lease to the new owner. LeaseAssembly connects them; it takes the control log, the client to the leader and the replicated view from outside. Compiles and passes the linters; not run against processes yet.

--- /dev/null
+++ b/core/src/main/kotlin/org/buckthornhub/lease/HealthDecider.kt
@@ -0,0 +1,32 @@
+package org.buckthornhub.lease
+
+import kotlinx.collections.immutable.toPersistentList
+import kotlinx.collections.immutable.toPersistentMap
+import org.buckthornhub.decision.Decider
+import org.buckthornhub.decision.Decision
+
+/** Probes the targets that this daemon owns, and remembers when each last answered. */
+public class HealthDecider : Decider<HealthState, HealthMessage, HealthEffect> {
+    override fun decide(state: HealthState, message: HealthMessage, nowMillis: Long): Decision<HealthState, HealthEffect> = when (message) {
+        is HealthMessage.Probe -> probe(state, message, nowMillis)
+        is HealthMessage.Answered -> Decision(answered(state, message, nowMillis))
+    }
+
+    // A target that has just come to this owner gets the whole detection time to answer.
+    private fun probe(state: HealthState, message: HealthMessage.Probe, nowMillis: Long): Decision<HealthState, HealthEffect> {
+        val next =
+            HealthState(
+                targets = message.owned.associate {
+                    it.target to (state.targets[it.target] ?: it).copy(address = it.address)
+                }.toPersistentMap(),
+                answeredMillis = message.owned.associate { it.target to (state.answeredMillis[it.target] ?: nowMillis) }.toPersistentMap(),
+            )
+        return Decision(next, next.targets.values.map { HealthEffect.Ask(it) }.toPersistentList())
+    }
+
+    private fun answered(state: HealthState, message: HealthMessage.Answered, nowMillis: Long): HealthState {
+        val target = message.entry.target
+        if (target !in state.targets) return state
+        return HealthState(state.targets.put(target, message.entry), state.answeredMillis.put(target, nowMillis))
+    }
+}
--- a/core/src/main/kotlin/org/buckthornhub/promotion/PromotionSteps.kt
+++ b/core/src/main/kotlin/org/buckthornhub/promotion/PromotionSteps.kt
@@ -91,13 +91,21 @@
     private fun survey(state: PromotionState, promotion: Promotion, nowMillis: Long, delayMillis: Long): PromotionDecision {
         val fencedMillis = promotion.fencedMillis ?: nowMillis
         val asked = promotion.copy(step = Promotion.Step.SURVEY, stepMillis = nowMillis, fencedMillis = fencedMillis)
-        val targets = state.instancesOf(promotion.group).map { it.report }
+        val targets = surveyTargets(state, promotion)
         return Decision(
             state.with(asked),
             persistentListOf(PromotionEffect.Survey(promotion.group, promotion.expected, nowMillis, targets, delayMillis)),
         )
     }
 
+    // Waiting for an instance that surely won't answer would only lengthen the gap.
+    private fun surveyTargets(state: PromotionState, promotion: Promotion): List<TargetReport> {
+        val all = state.instancesOf(promotion.group).map { it.report }
+        val reachable = all.filter { it.reachable }
+        val isEnough = reachable.size >= maxOf(all.size, settings.instances) - 1
+        return if (isEnough) reachable else all
+    }
+
     private fun commit(state: PromotionState, promotion: Promotion, nowMillis: Long): PromotionDecision {
         val chosen = checkNotNull(promotion.chosen)
         val current = state.leaderships[promotion.group]
--- /dev/null
+++ b/daemon/src/main/kotlin/org/buckthornhub/lease/LeaseAssembly.kt
@@ -0,0 +1,72 @@
+package org.buckthornhub.lease
+
+import kotlinx.coroutines.CoroutineScope
+import org.buckthornhub.clock.Clock
+import org.buckthornhub.control.ControlClient
+import org.buckthornhub.control.ControlLog
+import org.buckthornhub.control.ReplicatedView
+import org.buckthornhub.fleet.FleetMessage
+import org.buckthornhub.fleet.FleetState
+import org.buckthornhub.fleet.OwnerPolicy
+import org.buckthornhub.fleet.RendezvousOwnerPolicy
+import org.buckthornhub.fleet.StateSource
+import org.buckthornhub.http.HttpLink
+import org.buckthornhub.http.Route
+import org.buckthornhub.http.RouteHandler
+import org.buckthornhub.peer.PeerAuthority
+import org.buckthornhub.promotion.PromotionSettings
+import org.buckthornhub.promotion.PromotionTask
+import org.buckthornhub.target.TargetEntry
+import org.buckthornhub.task.Mailbox
+
+/**
+ * Builds the part of a daemon that holds leases, and on a control VM the part that grants them and replaces primaries.
+ *
+ * @param log null on a VM that is not of the control quorum
+ * @param leaderOnly wraps routes that only the control leader may answer
+ */
+internal class LeaseAssembly(
+    private val fleet: StateSource<FleetState>,
+    fleetMailbox: Mailbox<FleetMessage>,
+    control: ControlClient,
+    log: ControlLog?,
+    replicated: StateSource<ReplicatedView>,
+    authority: PeerAuthority,
+    links: HttpLink.Factory,
+    private val clock: Clock,
+    settings: PromotionSettings = PromotionSettings(),
+    private val healthSettings: HealthSettings = HealthSettings(),
+    leaderOnly: (RouteHandler) -> RouteHandler = { it },
+    private val owner: OwnerPolicy = RendezvousOwnerPolicy(),
+) {
+    private val self = fleet.current().self
+    private val holder: HolderTask =
+        HolderTask(HolderId(self.vm, self.incarnation), settings.lease, control, replicated, { reports() }, clock)
+    private val health: HealthTask = HealthTask(healthSettings, { ownedTargets() }, fleetMailbox, holder, links, clock)
+
+    /** Null on a VM that is not of the control quorum. */
+    val promotions: PromotionTask? =
+        log?.let { PromotionTask(settings, it, { fleet.current().view }, links, authority.headers(), clock) }
+
+    /** The leases that this daemon holds. */
+    val leases: StateSource<HeldLeases> = holder.leases
+    val routes: List<Route> = LeaseRoutes(holder, promotions, authority, leaderOnly).routes()
+
+    fun start(scope: CoroutineScope) {
+        holder.start(scope)
+        health.start(scope)
+        promotions?.start(scope)
+    }
+
+    /** Hands every lease back; the daemon is going to stop. */
+    fun leave() {
+        holder.offer(HolderTaskMessage.Leave)
+    }
+
+    private fun reports(): List<TargetReport> = health.current().reports(clock.nowMillis(), healthSettings)
+
+    private fun ownedTargets(): List<TargetEntry> {
+        val view = fleet.current().view
+        return view.targets.values.filter { owner.ownerOf(it, view) == self.vm }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/buckthornhub/lease/LeaseRoutes.kt
@@ -0,0 +1,73 @@
+package org.buckthornhub.lease
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.mapBoth
+import io.ktor.http.HttpMethod
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.SerializationException
+import org.buckthornhub.caller.errorReply
+import org.buckthornhub.error.ErrorKind
+import org.buckthornhub.error.ProxyError
+import org.buckthornhub.group.GroupLeadership
+import org.buckthornhub.http.HttpReply
+import org.buckthornhub.http.HttpRequest
+import org.buckthornhub.http.PeerJson
+import org.buckthornhub.http.Route
+import org.buckthornhub.http.RouteHandler
+import org.buckthornhub.peer.PeerAuthority
+import org.buckthornhub.promotion.PendingRenewal
+import org.buckthornhub.promotion.PromotionTaskMessage
+import org.buckthornhub.task.Mailbox
+
+/**
+ * Renewals on the way to the control leader, and offers on the way to the owner of a new primary.
+ *
+ * @param leader null on a VM that is not of the control quorum
+ * @param leaderOnly sends those who take this VM for the control leader to the one that is
+ */
+internal class LeaseRoutes(
+    private val holder: Mailbox<HolderTaskMessage>,
+    private val leader: Mailbox<PromotionTaskMessage>?,
+    private val authority: PeerAuthority,
+    private val leaderOnly: (RouteHandler) -> RouteHandler,
+) {
+    fun routes(): List<Route> = listOfNotNull(
+        Route(HttpMethod.Post, OFFER_PATH, authority.guard { request -> withBody(request, GroupLeadership.serializer()) { offered(it) } }),
+        leader?.let { mailbox ->
+            val renew = RouteHandler { request -> withBody(request, RenewRequest.serializer()) { renew(mailbox, it) } }
+            Route(HttpMethod.Post, RENEW_PATH, authority.guard(leaderOnly(renew)))
+        },
+    )
+
+    private fun offered(leadership: GroupLeadership): HttpReply {
+        holder.offer(HolderTaskMessage.Offered(leadership))
+        return HttpReply(OK, "{}")
+    }
+
+    private suspend fun renew(mailbox: Mailbox<PromotionTaskMessage>, request: RenewRequest): HttpReply {
+        val renewal = PendingRenewal(request, CompletableDeferred())
+        if (!mailbox.offer(PromotionTaskMessage.Arrived(renewal))) renewal.reply.complete(Err(overloaded))
+        return renewal.reply.await().mapBoth(
+            success = { HttpReply(OK, PeerJson.encodeToString(RenewResponse.serializer(), it)) },
+            failure = { errorReply(it) },
+        )
+    }
+
+    private suspend fun <T> withBody(request: HttpRequest, serializer: KSerializer<T>, action: suspend (T) -> HttpReply): HttpReply {
+        val body =
+            try {
+                PeerJson.decodeFromString(serializer, request.body)
+            } catch (e: SerializationException) {
+                return errorReply(ProxyError(ErrorKind.MALFORMED_REQUEST, e.message.orEmpty().lineSequence().first()))
+            }
+        return action(body)
+    }
+
+    companion object {
+        const val RENEW_PATH = "/internal/lease/renew"
+        const val OFFER_PATH = "/internal/lease/offer"
+        private const val OK = 200
+        private val overloaded = ProxyError(ErrorKind.QUEUE_FULL, "too many renewals wait")
+    }
+}
