--- a/core/src/main/kotlin/org/buckthornhub/promotion/SafeCandidatePolicy.kt
+++ b/core/src/main/kotlin/org/buckthornhub/promotion/SafeCandidatePolicy.kt
@@ -12,8 +12,9 @@
  */
 public class SafeCandidatePolicy(private val settings: PromotionSettings) : CandidatePolicy {
     override fun choose(promotion: Promotion, current: GroupLeadership, answers: List<TargetReport>, instances: Int): TargetReport? {
-        val others = answers.filter { it.target != current.primary }
         val primary = answers.firstOrNull { it.target == current.primary && it.role == TargetRole.PRIMARY && it.term == current.term }
+        // A primary that was restarted as a replica has kept its writes and may be chosen again.
+        val others = answers.filter { it.target != primary?.target }
         val newest = others.maxWithOrNull(newness) ?: return null
         if (promotion.isPlanned) {
             return others.filter { isWanted(it, promotion) && hasAll(it, primary) }.maxWithOrNull(newness)
