Route reads by what is known of positions, prove ages, and retry within a budget

Cause: a read went only where an announcement up to 200 ms old said that the position was held; an accepted age was ignored; nothing was ever tried again; and a session that had only read was tied to what it had read. Weighed: waiting at the primary for the replica (costs the scarce slots of the primary), asking every replica (more messages), hints at the router with the last word at the owner of the replica. Hints cost nothing when they are wrong but a refusal that was never sent to the target.

--- a/core/src/main/kotlin/org/buckthornhub/proxy/Call.kt
+++ b/core/src/main/kotlin/org/buckthornhub/proxy/Call.kt
@@ -10,6 +10,7 @@
  *
  * @property organisation set once the key is known; null on groups open to all
  * @property target set once the request is routed
+ * @property waitMillis how long the target may be waited for if it is behind the session
  */
 public data class Call(
     val request: ProxyRequest,
@@ -17,4 +18,5 @@
     val grant: Grant? = null,
     val session: Session = Session(organisation = null),
     val target: TargetId? = null,
+    val waitMillis: Long = 0,
 )
--- a/core/src/main/kotlin/org/buckthornhub/routing/RouteInterceptor.kt
+++ b/core/src/main/kotlin/org/buckthornhub/routing/RouteInterceptor.kt
@@ -3,37 +3,92 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
 import com.github.michaelbull.result.getOrElse
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentSetOf
 import org.buckthornhub.clock.Clock
+import org.buckthornhub.clock.Pause
+import org.buckthornhub.control.ReplicatedView
 import org.buckthornhub.error.ErrorKind
+import org.buckthornhub.error.ErrorTable
+import org.buckthornhub.error.Execution
 import org.buckthornhub.error.ProxyError
 import org.buckthornhub.fleet.FleetView
 import org.buckthornhub.fleet.StateSource
 import org.buckthornhub.fleet.ZoneId
+import org.buckthornhub.proxy.Call
 import org.buckthornhub.proxy.Chain
 import org.buckthornhub.proxy.Interceptor
 import org.buckthornhub.proxy.ProxyEventListener
 import org.buckthornhub.proxy.ProxyResponse
+import org.buckthornhub.retry.FailedAttempt
+import org.buckthornhub.retry.RetryDecision
+import org.buckthornhub.retry.RetryPolicy
 import org.buckthornhub.statement.Operation
 import org.buckthornhub.statement.openTransaction
+import org.buckthornhub.target.TargetId
 import org.buckthornhub.target.TransactionRoute
 
-/** Chooses the target of each request. */
+/** Chooses the target of each request, and another one if [retries] allows. */
 public class RouteInterceptor(
     private val policy: RoutePolicy,
     private val view: StateSource<FleetView>,
     private val zone: ZoneId,
     private val clock: Clock,
     private val events: ProxyEventListener = ProxyEventListener.NONE,
+    private val replicated: StateSource<ReplicatedView> = StateSource { ReplicatedView() },
+    private val hints: PositionHintSource = PositionHintSource.NONE,
+    private val retries: RetryPolicy = RetryPolicy.NONE,
+    private val pause: Pause = Pause { },
 ) : Interceptor {
     override suspend fun intercept(chain: Chain): Result<ProxyResponse, ProxyError> {
-        val call = chain.call
+        retries.started(chain.call.request.operation.group)
+        return attempt(chain, number = 1, avoided = persistentSetOf(), doubt = null)
+    }
+
+    /** @param doubt error of an earlier attempt that may have run; a later one can't take that back */
+    private tailrec suspend fun attempt(
+        chain: Chain,
+        number: Int,
+        avoided: PersistentSet<TargetId>,
+        doubt: ProxyError?,
+    ): Result<ProxyResponse, ProxyError> {
+        val request = chain.call.request
+        val route = routeOf(chain.call, avoided)
+        val result = follow(chain, route)
+        val error = result.getError() ?: return result
+        val failed = FailedAttempt(request.operation, error, number, clock.nowMillis(), request.deadlineMillis)
+        val next = retries.decide(failed) as? RetryDecision.Again ?: return Err(doubt ?: error)
+        pause.pause(next.delayMillis)
+        val target = route.get()?.target
+        val nextAvoided = if (next.isTargetAvoided && target != null) avoided.add(target) else avoided
+        val isInDoubt = ErrorTable.answerTo(error.kind).execution == Execution.UNKNOWN
+        return attempt(chain, number + 1, nextAvoided, if (isInDoubt) error else doubt)
+    }
+
+    private suspend fun follow(chain: Chain, route: Result<Route, ProxyError>): Result<ProxyResponse, ProxyError> {
+        val (target, reason, waitMillis) = route.getOrElse { return Err(it) }
+        events.routed(chain.call.request, target, reason)
+        return chain.proceed(chain.call.copy(target = target, waitMillis = waitMillis))
+    }
+
+    private fun routeOf(call: Call, avoided: PersistentSet<TargetId>): Result<Route, ProxyError> {
         val operation = call.request.operation
-        val query = RouteQuery(operation, call.session.positionIn(operation.group), zone, clock.nowMillis())
-        val route = transactionRoute(operation) ?: policy.route(query, view.current())
-        val (target, reason) = route.getOrElse { return Err(it) }
-        events.routed(call.request, target, reason)
-        return chain.proceed(call.copy(target = target))
+        transactionRoute(operation)?.let { return it }
+        val query =
+            RouteQuery(
+                operation = operation,
+                position = call.session.positionIn(operation.group),
+                zone = zone,
+                nowMillis = clock.nowMillis(),
+                leadership = replicated.current().state.leaderships[operation.group],
+                hints = hints.current(),
+                avoided = avoided,
+                needsPrimary = operation.group in call.session.uncertain,
+            )
+        return policy.route(query, view.current())
     }
 
     // A transaction stays where it began; null for anything outside one.
--- a/core/src/main/kotlin/org/buckthornhub/target/TargetCall.kt
+++ b/core/src/main/kotlin/org/buckthornhub/target/TargetCall.kt
@@ -12,6 +12,7 @@
  * @property organisation owner of the request, for fair queues; null on groups open to all
  * @property position what a read has to see
  * @property deadlineMillis monotonic time of this process
+ * @property waitMillis how long a read may wait for the target to apply [position]
  * @property newTransaction id that the owner gives to a begin; null elsewhere
  */
 public data class TargetCall(
@@ -23,4 +24,5 @@
     val deadlineMillis: Long,
     val traceParent: String? = null,
     val newTransaction: TransactionId? = null,
+    val waitMillis: Long = 0,
 )
--- a/core/src/main/kotlin/org/buckthornhub/target/owner/CallIntake.kt
+++ b/core/src/main/kotlin/org/buckthornhub/target/owner/CallIntake.kt
@@ -28,9 +28,10 @@
         if (context.leaseTerm == null) return refused(ticket, ErrorKind.NO_PRIMARY, "no lease is held for group ${entry.group}")
         return queued(ticket, context)
     }
-    if (context.history.contains(held = position, wanted = call.position)) return queued(ticket, context)
-    val untilMillis = minOf(context.nowMillis + context.limits.replicaWaitMillis, call.deadlineMillis)
-    return copy(behind = behind.put(ticket, untilMillis)).watchingTarget()
+    val fetched = fetchingSamples(call, context)
+    if (fetched.state.satisfies(call, context)) return fetched.then { it.queued(ticket, context) }
+    val untilMillis = minOf(context.nowMillis + call.waitMillis, call.deadlineMillis)
+    return fetched.then { it.copy(behind = it.behind.put(ticket, untilMillis)).watchingTarget() }
 }
 
 /** Queues [ticket], or refuses it early if it can't be served before its deadline. */
--- a/core/src/main/kotlin/org/buckthornhub/target/owner/OwnerDecider.kt
+++ b/core/src/main/kotlin/org/buckthornhub/target/owner/OwnerDecider.kt
@@ -1,10 +1,12 @@
 package org.buckthornhub.target.owner
 
+import com.github.michaelbull.result.Err
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.toPersistentMap
 import org.buckthornhub.decision.Decider
 import org.buckthornhub.decision.Decision
 import org.buckthornhub.error.ErrorKind
+import org.buckthornhub.error.ProxyError
 import org.buckthornhub.group.History
 import org.buckthornhub.group.Position
 
@@ -24,6 +26,9 @@
         is OwnerMessage.Announced -> announced(message, context)
         is OwnerMessage.TargetHeard -> targetHeard(message.progress, context)
         is OwnerMessage.GroupHeard -> groupHeard(message.progress, context)
+        OwnerMessage.SamplesAsked -> samplesAsked(context)
+        is OwnerMessage.Sampled -> sampled(message, context).unchanged()
+        is OwnerMessage.SamplesHeard -> samplesHeard(message.samples).positionsChecked(context)
         is OwnerMessage.EndTransactionsOf -> transactionsEndedOf(message.organisation, context)
         OwnerMessage.Tick -> ticked(context)
     }
@@ -62,13 +67,10 @@
 
     private fun OwnerState.positionChecked(ticket: Long, untilMillis: Long, context: OwnerContext): OwnerStep {
         val call = calls[ticket]?.call ?: return copy(behind = behind.remove(ticket)).unchanged()
-        if (context.history.contains(held = position, wanted = call.position)) return queued(ticket, context)
+        if (satisfies(call, context)) return queued(ticket, context)
         if (context.nowMillis < untilMillis) return unchanged()
-        return refused(
-            ticket,
-            ErrorKind.REPLICA_BEHIND,
-            "target ${entry.target} has applied ${position.index.value} of term ${position.term.value}",
-        )
+        val detail = "target ${entry.target} has applied ${position.index.value} of term ${position.term.value}"
+        return answered(ticket, Err(ProxyError(ErrorKind.REPLICA_BEHIND, detail, position = position)))
     }
 
     private fun OwnerState.ticked(context: OwnerContext): OwnerStep {
@@ -87,6 +89,7 @@
             .then { it.writesConfirmed(context) }
             .then { it.watchingTarget(POLL_MILLIS) }
             .then { it.watchingGroup(POLL_MILLIS) }
+            .then { it.sampling(context) }
             .then { it.scheduled(context) }
     }
 
--- a/core/src/main/kotlin/org/buckthornhub/target/owner/OwnerEffect.kt
+++ b/core/src/main/kotlin/org/buckthornhub/target/owner/OwnerEffect.kt
@@ -2,6 +2,7 @@
 
 import com.github.michaelbull.result.Result
 import org.buckthornhub.error.ProxyError
+import org.buckthornhub.group.Position
 import org.buckthornhub.statement.Answer
 import org.buckthornhub.target.TargetCall
 
@@ -36,4 +37,10 @@
 
     /** Asks the other instances of the group after [delayMillis] how far they are, and reports with `GroupHeard`. */
     public data class WatchGroup(val delayMillis: Long) : OwnerEffect
+
+    /** Fetches samples newer than [after] from the owner of the primary, and reports with `SamplesHeard`. */
+    public data class FetchSamples(val after: Position?) : OwnerEffect
+
+    /** Asks the target itself how far it is, and reports with `Sampled`. */
+    public data class SampleTarget(val askedMillis: Long) : OwnerEffect
 }
--- a/core/src/main/kotlin/org/buckthornhub/target/owner/OwnerLimits.kt
+++ b/core/src/main/kotlin/org/buckthornhub/target/owner/OwnerLimits.kt
@@ -7,7 +7,6 @@
  *
  * @property queueCapacity calls that may wait for a connection
  * @property silenceMillis a connection that gives no answer for this time is dropped
- * @property replicaWaitMillis time that a read may wait for a replica to apply the position of its session
  * @property acknowledgeMillis time that a write may wait for a second instance
  * @property transactionIdleMillis a transaction unused for this time is rolled back
  * @property transactionTotalMillis a transaction is rolled back after this time in any case
@@ -15,7 +14,6 @@
 public data class OwnerLimits(
     val queueCapacity: Int = 256,
     val silenceMillis: Long = 1_800,
-    val replicaWaitMillis: Long = 10,
     val acknowledgeMillis: Long = 1_000,
     val transactionIdleMillis: Long = 10_000,
     val transactionTotalMillis: Long = 60_000,
--- a/core/src/main/kotlin/org/buckthornhub/target/owner/OwnerMessage.kt
+++ b/core/src/main/kotlin/org/buckthornhub/target/owner/OwnerMessage.kt
@@ -4,6 +4,7 @@
 import kotlinx.collections.immutable.PersistentList
 import org.buckthornhub.error.ProxyError
 import org.buckthornhub.organisation.OrganisationId
+import org.buckthornhub.routing.PositionSample
 import org.buckthornhub.statement.Answer
 import org.buckthornhub.statement.TransactionId
 import org.buckthornhub.target.TargetCall
@@ -50,6 +51,18 @@
     /** Other instances of the group were asked how far they are; those that gave no answer are missing. */
     public data class GroupHeard(val progress: PersistentList<InstanceProgress>) : OwnerMessage
 
+    /** The owner of a replica wants samples of this primary. */
+    public data object SamplesAsked : OwnerMessage
+
+    /** The target was asked at [askedMillis] how far it is; null if it gave no answer. */
+    public data class Sampled(
+        val askedMillis: Long,
+        val progress: InstanceProgress?,
+    ) : OwnerMessage
+
+    /** Samples of the primary, in local time; empty if its owner can't be reached. */
+    public data class SamplesHeard(val samples: PersistentList<PositionSample>) : OwnerMessage
+
     /** Rolls back every transaction of [organisation]. */
     public data class EndTransactionsOf(val organisation: OrganisationId) : OwnerMessage
 
--- a/core/src/main/kotlin/org/buckthornhub/target/owner/OwnerState.kt
+++ b/core/src/main/kotlin/org/buckthornhub/target/owner/OwnerState.kt
@@ -1,12 +1,15 @@
 package org.buckthornhub.target.owner
 
+import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
 import org.buckthornhub.group.Position
 import org.buckthornhub.pool.SlotPool
 import org.buckthornhub.queue.CallQueue
 import org.buckthornhub.queue.QueuePolicy
 import org.buckthornhub.repeat.RequestLedger
+import org.buckthornhub.routing.PositionSample
 import org.buckthornhub.statement.TransactionId
 import org.buckthornhub.target.TargetEntry
 import org.buckthornhub.target.TargetId
@@ -19,6 +22,9 @@
  * @property ended transactions that ended without a commit, with the time
  * @property progress newest word of each other instance of the group
  * @property position how far the target is known to have applied
+ * @property samples where the primary was when; taken by its owner, fetched by the owners of replicas
+ * @property fetchedMillis when samples were last taken or fetched
+ * @property sampledUntilMillis until when the owner of the primary takes samples
  * @property serviceMillis moving average of the time that a call holds a connection
  */
 public data class OwnerState(
@@ -34,6 +40,10 @@
     val ledger: RequestLedger = RequestLedger(),
     val position: Position = Position(entry.term, entry.applied),
     val serviceMillis: Double = 1.0,
+    val samples: PersistentList<PositionSample> = persistentListOf(),
+    val fetchedMillis: Long = Long.MIN_VALUE / 2,
+    val isFetching: Boolean = false,
+    val sampledUntilMillis: Long = 0,
     val isWatchingTarget: Boolean = false,
     val isWatchingGroup: Boolean = false,
 ) {
--- a/daemon/src/main/kotlin/org/buckthornhub/caller/CallerRoutes.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/caller/CallerRoutes.kt
@@ -79,9 +79,11 @@
                 deadlineMillis = clock.nowMillis() + (deadlineMillis ?: defaultDeadlineMillis),
                 traceParent = request.headers["traceparent"],
             )
-        return proxy.execute(proxyRequest).mapBoth(success = { answerReply(it) }, failure = { errorReply(it) })
+        return proxy.execute(proxyRequest).mapBoth(success = { answerReply(it) }, failure = { failureReply(it) })
     }
 
+    private fun failureReply(error: ProxyError): HttpReply = errorReply(error, session = error.session?.let { sessionCodec.encode(it) })
+
     private fun answerReply(response: ProxyResponse): HttpReply {
         val answer = response.answer
         val body =
--- a/daemon/src/main/kotlin/org/buckthornhub/caller/ErrorReply.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/caller/ErrorReply.kt
@@ -9,7 +9,7 @@
 private const val MILLIS_PER_SECOND = 1_000.0
 
 /** The HTTP answer to [error], as [ErrorTable] has it. */
-internal fun errorReply(error: ProxyError, traceId: String? = null): HttpReply {
+internal fun errorReply(error: ProxyError, traceId: String? = null, session: String? = null): HttpReply {
     val answer = ErrorTable.answerTo(error.kind)
     val body =
         ErrorBody(
@@ -20,6 +20,7 @@
             advice = answer.advice,
             retryAfterMillis = error.retryAfterMillis,
             traceId = traceId,
+            session = session,
         )
     val headers = error.retryAfterMillis?.let { mapOf("Retry-After" to retryAfterSeconds(it)) }.orEmpty()
     return HttpReply(answer.status, WireJson.encodeToString(ErrorBody.serializer(), body), headers)
--- a/daemon/src/main/kotlin/org/buckthornhub/daemon/DaemonAssembly.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/daemon/DaemonAssembly.kt
@@ -19,12 +19,9 @@
 import org.buckthornhub.organisation.Configuration
 import org.buckthornhub.platform.PlatformRoutes
 import org.buckthornhub.proxy.Proxy
-import org.buckthornhub.routing.ReplicaRoutePolicy
-import org.buckthornhub.routing.RouteInterceptor
 import org.buckthornhub.session.ResumeSessionInterceptor
 import org.buckthornhub.session.SessionCodec
 import org.buckthornhub.settings.Settings
-import org.buckthornhub.target.ExecuteInterceptor
 import org.buckthornhub.target.TargetAssembly
 import java.io.File
 
@@ -40,7 +37,7 @@
         val targets = TargetAssembly(settings, clock, fleet, StateSource { ReplicatedView() }, StateSource { HeldLeases() })
         fleet.start(scope)
         targets.start(scope)
-        val proxy = Proxy(interceptors(StateSource { configuration }, fleet, targets))
+        val proxy = Proxy(interceptors(StateSource { configuration }, targets))
         val routes =
             CallerRoutes(proxy, sessionCodec, clock, settings.defaultDeadlineMillis).routes() +
                 AnnounceRoutes(fleet).routes() +
@@ -49,14 +46,12 @@
         HttpServer(settings.host, settings.port, routes, settings.maxBodyBytes).start()
     }
 
-    private fun interceptors(configuration: StateSource<Configuration>, fleet: FleetTask, targets: TargetAssembly) = persistentListOf(
+    private fun interceptors(configuration: StateSource<Configuration>, targets: TargetAssembly) = persistentListOf(
         AuthenticateInterceptor(configuration),
         ResumeSessionInterceptor(sessionCodec),
         AuthorizeInterceptor(configuration),
         AdmitInterceptor(Admission { _, _, _ -> Ok(0) }),
-        RouteInterceptor(ReplicaRoutePolicy(), fleet, settings.zone, clock),
-        ExecuteInterceptor(targets.gateway),
-    )
+    ).addAll(targets.interceptors())
 
     private fun initialConfiguration(): Configuration {
         val path = settings.initialConfiguration ?: return Configuration()
--- a/daemon/src/main/kotlin/org/buckthornhub/peer/ForwardBody.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/peer/ForwardBody.kt
@@ -22,6 +22,7 @@
     val position: Position,
     val remainingMillis: Long,
     val traceParent: String? = null,
+    val waitMillis: Long = 0,
 ) {
     fun toCall(nowMillis: Long): TargetCall = TargetCall(
         target = target,
@@ -31,6 +32,7 @@
         position = position,
         deadlineMillis = nowMillis + remainingMillis,
         traceParent = traceParent,
+        waitMillis = waitMillis,
     )
 
     companion object {
@@ -42,6 +44,7 @@
             position = call.position,
             remainingMillis = call.deadlineMillis - nowMillis,
             traceParent = call.traceParent,
+            waitMillis = call.waitMillis,
         )
     }
 }
--- a/daemon/src/main/kotlin/org/buckthornhub/peer/ForwardRoutes.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/peer/ForwardRoutes.kt
@@ -1,6 +1,7 @@
 package org.buckthornhub.peer
 
 import io.ktor.http.HttpMethod
+import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerializationException
 import org.buckthornhub.caller.errorReply
 import org.buckthornhub.clock.Clock
@@ -10,30 +11,45 @@
 import org.buckthornhub.http.HttpRequest
 import org.buckthornhub.http.PeerJson
 import org.buckthornhub.http.Route
-import org.buckthornhub.target.TargetGateway
+import org.buckthornhub.target.GatewayTask
+import org.buckthornhub.target.SampleAges
 
 /** Takes calls that other daemons forward to the owners in this one. */
 internal class ForwardRoutes(
-    private val own: TargetGateway,
+    private val own: GatewayTask,
     private val authority: PeerAuthority,
     private val clock: Clock,
 ) {
-    fun routes(): List<Route> = listOf(Route(HttpMethod.Post, PATH, authority.guard { execute(it) }))
+    fun routes(): List<Route> = listOf(
+        Route(HttpMethod.Post, PATH, authority.guard { execute(it) }),
+        Route(HttpMethod.Post, SAMPLES_PATH, authority.guard { samples(it) }),
+    )
 
-    private suspend fun execute(request: HttpRequest): HttpReply {
+    private suspend fun execute(request: HttpRequest): HttpReply = withBody(request, ForwardBody.serializer()) { body ->
+        val reply = ForwardReply.of(body.requestId, own.execute(body.toCall(clock.nowMillis())))
+        PeerJson.encodeToString(ForwardReply.serializer(), reply)
+    }
+
+    private suspend fun samples(request: HttpRequest): HttpReply = withBody(request, SampleBody.serializer()) { body ->
+        PeerJson.encodeToString(SampleAges.serializer(), own.samples(body))
+    }
+
+    private suspend fun <T> withBody(request: HttpRequest, serializer: KSerializer<T>, action: suspend (T) -> String): HttpReply {
         val body =
             try {
-                PeerJson.decodeFromString(ForwardBody.serializer(), request.body)
+                PeerJson.decodeFromString(serializer, request.body)
             } catch (e: SerializationException) {
-                return errorReply(ProxyError(ErrorKind.MALFORMED_REQUEST, "not a forwarded call: ${e.message}"))
+                return errorReply(ProxyError(ErrorKind.MALFORMED_REQUEST, "the body is not valid: ${e.message}"))
             }
-        val reply = ForwardReply.of(body.requestId, own.execute(body.toCall(clock.nowMillis())))
-        return HttpReply(STATUS_OK, PeerJson.encodeToString(ForwardReply.serializer(), reply))
+        return HttpReply(STATUS_OK, action(body))
     }
 
     companion object {
         /** Where owners take forwarded calls. */
         const val PATH = "/internal/execute"
+
+        /** Where owners of primaries give samples. */
+        const val SAMPLES_PATH = "/internal/samples"
         private const val STATUS_OK = 200
     }
 }
--- a/daemon/src/main/kotlin/org/buckthornhub/peer/PeerTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/peer/PeerTask.kt
@@ -20,6 +20,7 @@
 import org.buckthornhub.http.PeerJson
 import org.buckthornhub.statement.Answer
 import org.buckthornhub.statement.isRead
+import org.buckthornhub.target.SampleAges
 import org.buckthornhub.target.TargetCall
 import org.buckthornhub.task.Task
 
@@ -45,6 +46,11 @@
         return reply.await()
     }
 
+    override suspend fun samples(owner: VmId, body: SampleBody): SampleAges {
+        val reply = CompletableDeferred<SampleAges>()
+        return if (offer(PeerMessage.Samples(owner, body, reply))) reply.await() else SampleAges()
+    }
+
     override suspend fun onStart(scope: CoroutineScope) {
         this.scope = scope
     }
@@ -52,6 +58,7 @@
     override suspend fun handle(message: PeerMessage) {
         when (message) {
             is PeerMessage.Forward -> forward(message)
+            is PeerMessage.Samples -> samples(message)
         }
     }
 
@@ -68,6 +75,23 @@
         scope.launch { message.reply.complete(exchange(link, message.call)) }
     }
 
+    private fun samples(message: PeerMessage.Samples) {
+        val link = linkTo(message.owner)
+        if (link == null) message.reply.complete(SampleAges()) else scope.launch { message.reply.complete(ask(link, message.body)) }
+    }
+
+    private suspend fun ask(link: HttpLink, body: SampleBody): SampleAges {
+        val text = PeerJson.encodeToString(SampleBody.serializer(), body)
+        val reply = link.post(ForwardRoutes.SAMPLES_PATH, text, SAMPLES_TIMEOUT_MILLIS, authority.headers()).getOrElse {
+            return SampleAges()
+        }
+        return try {
+            if (reply.isSuccess) PeerJson.decodeFromString(SampleAges.serializer(), reply.body) else SampleAges()
+        } catch (e: SerializationException) {
+            SampleAges()
+        }
+    }
+
     private fun linkTo(vm: VmId): HttpLink? {
         val address = view.current().daemons[vm]?.address ?: return null
         val known = peers[vm]
@@ -109,5 +133,6 @@
 
     private companion object {
         const val GRACE_MILLIS = 50L
+        const val SAMPLES_TIMEOUT_MILLIS = 500L
     }
 }
--- a/daemon/src/main/kotlin/org/buckthornhub/target/GatewayMessage.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/target/GatewayMessage.kt
@@ -4,6 +4,7 @@
 import kotlinx.coroutines.CompletableDeferred
 import org.buckthornhub.error.ProxyError
 import org.buckthornhub.organisation.OrganisationId
+import org.buckthornhub.peer.SampleBody
 import org.buckthornhub.statement.Answer
 
 /** What the task that keeps the owners of targets is told. */
@@ -14,6 +15,12 @@
         val reply: CompletableDeferred<Result<Answer, ProxyError>>,
     ) : GatewayMessage
 
+    /** Completes [reply] with samples of a primary that this daemon works for. */
+    data class Samples(
+        val body: SampleBody,
+        val reply: CompletableDeferred<SampleAges>,
+    ) : GatewayMessage
+
     /** Rolls back every transaction of [organisation]. */
     data class EndTransactionsOf(val organisation: OrganisationId) : GatewayMessage
 
--- a/daemon/src/main/kotlin/org/buckthornhub/target/GatewayTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/target/GatewayTask.kt
@@ -8,6 +8,7 @@
 import kotlinx.coroutines.CoroutineScope
 import org.buckthornhub.error.ErrorKind
 import org.buckthornhub.error.ProxyError
+import org.buckthornhub.peer.SampleBody
 import org.buckthornhub.statement.Answer
 import org.buckthornhub.target.owner.OwnerLimits
 import org.buckthornhub.target.owner.OwnerMessage
@@ -30,6 +31,12 @@
         return reply.await()
     }
 
+    /** Samples of a primary that this daemon works for; none if it does not. */
+    suspend fun samples(body: SampleBody): SampleAges {
+        val reply = CompletableDeferred<SampleAges>()
+        return if (offer(GatewayMessage.Samples(body, reply))) reply.await() else SampleAges()
+    }
+
     override suspend fun onStart(scope: CoroutineScope) {
         this.scope = scope
         scope.startTicker(this, TICK_MILLIS, GatewayMessage.Tick)
@@ -38,6 +45,7 @@
     override suspend fun handle(message: GatewayMessage) {
         when (message) {
             is GatewayMessage.Run -> run(message)
+            is GatewayMessage.Samples -> samples(message)
             is GatewayMessage.EndTransactionsOf -> tellAll(OwnerMessage.EndTransactionsOf(message.organisation))
             GatewayMessage.Tick -> passOn()
         }
@@ -49,6 +57,12 @@
         if (!isTaken) message.reply.complete(Err(ProxyError(ErrorKind.NO_TARGET, "target ${message.call.target} can't be reached")))
     }
 
+    private fun samples(message: GatewayMessage.Samples) {
+        val target = targets[message.body.target] ?: open(message.body.target)
+        val isTaken = target?.offer(TargetMessage.Samples(message.body.after, message.reply)) ?: false
+        if (!isTaken) message.reply.complete(SampleAges())
+    }
+
     private fun open(id: TargetId): TargetTask? {
         val entry = environment.view.current().targets[id] ?: return null
         val task = TargetTask(entry, environment.driverOf(entry), environment, limits)
--- a/daemon/src/main/kotlin/org/buckthornhub/target/OwnerEnvironment.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/target/OwnerEnvironment.kt
@@ -20,6 +20,7 @@
     val authority: WriteAuthority,
     private val drivers: TargetDriver.Factory,
     private val replicated: StateSource<ReplicatedView>,
+    val samples: SampleSource,
 ) {
     private val random = SecureRandom()
 
--- a/daemon/src/main/kotlin/org/buckthornhub/target/TargetAssembly.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/target/TargetAssembly.kt
@@ -1,6 +1,9 @@
 package org.buckthornhub.target
 
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
 import org.buckthornhub.clock.Clock
 import org.buckthornhub.control.ReplicatedView
 import org.buckthornhub.fleet.FleetView
@@ -13,6 +16,13 @@
 import org.buckthornhub.peer.ForwardRoutes
 import org.buckthornhub.peer.PeerAuthority
 import org.buckthornhub.peer.PeerTask
+import org.buckthornhub.proxy.Interceptor
+import org.buckthornhub.proxy.ProxyEventListener
+import org.buckthornhub.retry.BudgetRetryPolicy
+import org.buckthornhub.retry.RetryBudgetTask
+import org.buckthornhub.routing.PositionTask
+import org.buckthornhub.routing.ReplicaRoutePolicy
+import org.buckthornhub.routing.RouteInterceptor
 import org.buckthornhub.settings.Settings
 import org.buckthornhub.target.owner.LeaseWriteAuthority
 import org.buckthornhub.target.owner.OwnerLimits
@@ -21,28 +31,50 @@
 
 /** Builds the owners of targets in one daemon, and the way to owners in the others. */
 internal class TargetAssembly(
-    settings: Settings,
-    clock: Clock,
-    view: StateSource<FleetView>,
-    replicated: StateSource<ReplicatedView>,
+    private val settings: Settings,
+    private val clock: Clock,
+    private val view: StateSource<FleetView>,
+    private val replicated: StateSource<ReplicatedView>,
     leases: StateSource<HeldLeases>,
 ) {
     // Without a control quorum nothing grants leases; a fleet that has one uses LeaseWriteAuthority alone.
     private val authority = UnleasedGroupAuthority(LeaseWriteAuthority(leases, replicated), replicated, view)
     private val peerAuthority = PeerAuthority(settings.fleetSecret)
-    private val environment =
-        OwnerEnvironment(settings.vm, clock, view, authority, { HttpTargetDriver(it, HttpLinks.open(it.address)) }, replicated)
+    private val drivers = TargetDriver.Factory { HttpTargetDriver(it, HttpLinks.open(it.address)) }
+    private val environment = OwnerEnvironment(settings.vm, clock, view, authority, drivers, replicated) { group, after ->
+        samples.samplesOf(group, after)
+    }
     private val own = GatewayTask(environment, OwnerLimits())
     private val peers = PeerTask(view, HttpLinks, peerAuthority, clock)
     private val locator = OwnerLocator(settings.vm, view, replicated, RendezvousOwnerPolicy())
+    private val samples: SampleSource = OwnedSampleSource(settings.vm, clock, view, replicated, locator, own, peers)
+    private val positions = PositionTask(clock, view)
+    private val retryBudget = RetryBudgetTask()
     private val forwardRoutes = ForwardRoutes(own, peerAuthority, clock)
 
-    /** The way to every target. */
-    val gateway: TargetGateway = OwnedTargetGateway(settings.vm, view, locator, own, peers)
+    private val gateway: TargetGateway = OwnedTargetGateway(settings.vm, view, locator, own, peers)
+
+    /** The end of the request path: routes, retries, and has the owner of the target run the request. */
+    fun interceptors(events: ProxyEventListener = ProxyEventListener.NONE): PersistentList<Interceptor> = persistentListOf(
+        RouteInterceptor(
+            policy = ReplicaRoutePolicy(),
+            view = view,
+            zone = settings.zone,
+            clock = clock,
+            events = events,
+            replicated = replicated,
+            hints = positions,
+            retries = BudgetRetryPolicy(retryBudget),
+            pause = { delay(it) },
+        ),
+        ExecuteInterceptor(gateway, positions),
+    )
 
     fun start(scope: CoroutineScope) {
         own.start(scope)
         peers.start(scope)
+        positions.start(scope)
+        retryBudget.start(scope)
     }
 
     fun routes(): List<Route> = forwardRoutes.routes()
--- a/daemon/src/main/kotlin/org/buckthornhub/target/TargetTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/target/TargetTask.kt
@@ -9,6 +9,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import org.buckthornhub.error.ProxyError
+import org.buckthornhub.group.Position
 import org.buckthornhub.queue.QueuePolicy
 import org.buckthornhub.statement.Answer
 import org.buckthornhub.target.owner.OwnerDecider
@@ -43,6 +44,7 @@
     override suspend fun handle(message: TargetMessage) {
         when (message) {
             is TargetMessage.Run -> submit(message)
+            is TargetMessage.Samples -> giveSamples(message)
             is TargetMessage.Event -> decide(message.message)
         }
     }
@@ -59,6 +61,16 @@
         decide(OwnerMessage.Submit(ticket, message.call, environment.newTransaction(message.call.target)))
     }
 
+    private fun giveSamples(message: TargetMessage.Samples) {
+        decide(OwnerMessage.SamplesAsked)
+        val newer = state.samples.filter { isAfter(it.position, message.after) }
+        message.reply.complete(SampleAges(newer.map { SampleAge.of(it, environment.clock) }))
+    }
+
+    // The newest known position may have a younger proof by now, so it is given again.
+    private fun isAfter(position: Position, after: Position?): Boolean =
+        after == null || position.term > after.term || position.term == after.term && position.index >= after.index
+
     private fun decide(message: OwnerMessage) {
         val now = environment.clock.nowMillis()
         val input = OwnerInput(message, environment.authority.termOf(state.entry, now), environment.leadershipOf(state.entry.group))
@@ -74,6 +86,8 @@
             is OwnerEffect.Close -> scope.launch { close(effect) }
             is OwnerEffect.Reply -> reply(effect)
             is OwnerEffect.WatchTarget -> scope.launch { watchTarget(effect.delayMillis) }
+            is OwnerEffect.FetchSamples -> scope.launch { fetchSamples(effect.after) }
+            is OwnerEffect.SampleTarget -> scope.launch { sampleTarget(effect.askedMillis) }
             is OwnerEffect.WatchGroup -> siblings.offer(SiblingMessage.Ask(effect.delayMillis))
         }
     }
@@ -102,6 +116,14 @@
         report(OwnerMessage.TargetHeard(driver.progress(PROGRESS_TIMEOUT_MILLIS)))
     }
 
+    private suspend fun fetchSamples(after: Position?) {
+        report(OwnerMessage.SamplesHeard(environment.samples.samplesOf(state.entry.group, after)))
+    }
+
+    private suspend fun sampleTarget(askedMillis: Long) {
+        report(OwnerMessage.Sampled(askedMillis, driver.progress(PROGRESS_TIMEOUT_MILLIS)))
+    }
+
     private fun reply(effect: OwnerEffect.Reply) {
         replies[effect.ticket]?.complete(effect.result)
         replies = replies.remove(effect.ticket)
