--- a/daemon/src/main/kotlin/org/buckthornhub/daemon/DaemonAssembly.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/daemon/DaemonAssembly.kt
@@ -6,9 +6,9 @@
 import org.buckthornhub.caller.CallerRoutes
 import org.buckthornhub.clock.SystemClock
 import org.buckthornhub.control.ReplicatedView
-import org.buckthornhub.fleet.AnnounceRoutes
-import org.buckthornhub.fleet.FleetTask
+import org.buckthornhub.fleet.FleetAssembly
 import org.buckthornhub.fleet.StateSource
+import org.buckthornhub.http.HttpLinks
 import org.buckthornhub.http.HttpServer
 import org.buckthornhub.http.PeerJson
 import org.buckthornhub.lease.HeldLeases
@@ -17,6 +17,7 @@
 import org.buckthornhub.organisation.AuthenticateInterceptor
 import org.buckthornhub.organisation.AuthorizeInterceptor
 import org.buckthornhub.organisation.Configuration
+import org.buckthornhub.peer.PeerAuthority
 import org.buckthornhub.platform.PlatformRoutes
 import org.buckthornhub.proxy.Proxy
 import org.buckthornhub.session.ResumeSessionInterceptor
@@ -33,14 +34,15 @@
     /** Starts every task in [scope], then listens. */
     fun start(scope: CoroutineScope) {
         val configuration = initialConfiguration()
-        val fleet = FleetTask(clock)
-        val targets = TargetAssembly(settings, clock, fleet, StateSource { ReplicatedView() }, StateSource { HeldLeases() })
+        val authority = PeerAuthority(settings.fleetSecret)
+        val fleet = FleetAssembly(settings, authority, HttpLinks, clock)
+        val targets = TargetAssembly(settings, clock, fleet.view, StateSource { ReplicatedView() }, StateSource { HeldLeases() })
         fleet.start(scope)
         targets.start(scope)
         val proxy = Proxy(interceptors(StateSource { configuration }, targets))
         val routes =
             CallerRoutes(proxy, sessionCodec, clock, settings.defaultDeadlineMillis).routes() +
-                AnnounceRoutes(fleet).routes() +
+                fleet.routes +
                 targets.routes() +
                 PlatformRoutes { true }.routes()
         HttpServer(settings.host, settings.port, routes, settings.maxBodyBytes).start()
