--- a/core/src/main/kotlin/org/buckthornhub/target/owner/OwnerDecider.kt
+++ b/core/src/main/kotlin/org/buckthornhub/target/owner/OwnerDecider.kt
@@ -80,6 +80,7 @@
         )
         return aged
             .expiredTransactionsEnded(context)
+            .then { it.expiredCallsRefused(context) }
             .then { state ->
                 state.pool.expiredSlots(context.nowMillis, limits.pool).fold(state.unchanged()) { step, slot ->
                     step.then { it.closing(slot) }
--- a/core/src/main/kotlin/org/buckthornhub/target/owner/Scheduling.kt
+++ b/core/src/main/kotlin/org/buckthornhub/target/owner/Scheduling.kt
@@ -23,6 +23,18 @@
     return copy(pool = pool.inState(slot, ConnectionState.Busy(ticket))).sentOn(slot, ticket, context)
 }
 
+/** Refuses the calls whose deadline has passed while they waited for a connection. */
+internal fun OwnerState.expiredCallsRefused(context: OwnerContext): OwnerStep {
+    val due = calls.filterValues { it.sentMillis == null && context.nowMillis >= it.call.deadlineMillis }.keys
+    return due.fold(unchanged()) { step, ticket -> step.then { it.expiredInQueue(ticket) } }
+}
+
+private fun OwnerState.expiredInQueue(ticket: Long): OwnerStep {
+    val rest = queue.remove(ticket)
+    if (rest.size == queue.size) return unchanged()
+    return copy(queue = rest).refused(ticket, ErrorKind.DEADLINE_EXPIRED, "the deadline passed in the queue")
+}
+
 /** Sends [ticket] on the connection of [slot]. */
 internal fun OwnerState.sentOn(slot: Int, ticket: Long, context: OwnerContext): OwnerStep {
     val pending = calls[ticket] ?: return unchanged()
--- a/core/src/main/kotlin/org/buckthornhub/target/owner/Transactions.kt
+++ b/core/src/main/kotlin/org/buckthornhub/target/owner/Transactions.kt
@@ -54,9 +54,12 @@
 }
 
 private fun OwnerState.runInside(ticket: Long, id: TransactionId, transaction: OpenTransaction, context: OwnerContext): OwnerStep {
-    val operation = calls[ticket]?.call?.operation ?: return unchanged()
-    val isUnleased = operation is Operation.Commit && context.leaseTerm == null
-    if (isUnleased) return rolledBackFor(ticket, id, transaction, context)
+    val call = calls[ticket]?.call ?: return copy(transactions = transactions.put(id, transaction)).continued(id, context)
+    if (context.nowMillis >= call.deadlineMillis) {
+        val free = copy(transactions = transactions.put(id, transaction))
+        return free.refused(ticket, ErrorKind.DEADLINE_EXPIRED, "the deadline passed before its turn").then { it.continued(id, context) }
+    }
+    if (call.operation is Operation.Commit && context.leaseTerm == null) return rolledBackFor(ticket, id, transaction, context)
     val running = transaction.copy(running = ticket, usedMillis = context.nowMillis)
     return copy(transactions = transactions.put(id, running)).sentOn(transaction.slot, ticket, context)
 }
--- /dev/null
+++ b/core/src/test/kotlin/org/buckthornhub/queue/QueueTraceResult.kt
@@ -0,0 +1,28 @@
+package org.buckthornhub.queue
+
+import org.buckthornhub.organisation.OrganisationId
+
+/** What became of the calls of a trace. */
+internal data class QueueTraceResult(
+    val arrivals: Map<OrganisationId, Int> = emptyMap(),
+    val served: Map<OrganisationId, Int> = emptyMap(),
+    val servedTickets: Set<Long> = emptySet(),
+    val refusedTickets: Set<Long> = emptySet(),
+    val arrivedTickets: Set<Long> = emptySet(),
+    val left: Int = 0,
+) {
+    fun arrived(organisation: OrganisationId, ticket: Long) =
+        copy(arrivals = arrivals + (organisation to (arrivals[organisation] ?: 0) + 1), arrivedTickets = arrivedTickets + ticket)
+
+    fun refused(ticket: Long?) = if (ticket == null) this else copy(refusedTickets = refusedTickets + ticket)
+
+    fun served(call: QueuedCall): QueueTraceResult {
+        check(call.ticket !in servedTickets) { "call ${call.ticket} was served twice" }
+        val organisation = checkNotNull(call.organisation)
+        return copy(served = served + (organisation to (served[organisation] ?: 0) + 1), servedTickets = servedTickets + call.ticket)
+    }
+
+    /** The smallest share of its arrivals that any of [organisations] got. */
+    fun worstShareOf(organisations: Set<OrganisationId>): Double =
+        organisations.minOf { (served[it] ?: 0).toDouble() / (arrivals[it] ?: 1) }
+}
--- /dev/null
+++ b/core/src/test/kotlin/org/buckthornhub/retry/FakeRetryBudget.kt
@@ -0,0 +1,9 @@
+package org.buckthornhub.retry
+
+import org.buckthornhub.group.GroupId
+
+internal class FakeRetryBudget(private val isSpent: Boolean) : RetryBudget {
+    override fun deposit(group: GroupId) {}
+
+    override suspend fun tryWithdraw(group: GroupId): Boolean = !isSpent
+}
