--- a/daemon/src/main/kotlin/org/buckthornhub/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/daemon/Main.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.runBlocking
+import org.buckthornhub.http.HttpLinks
 import org.buckthornhub.settings.Settings
 import org.buckthornhub.settings.SettingsLoader
 import org.kohsuke.args4j.CmdLineException
@@ -23,7 +24,7 @@
     if (options.check) return println("${options.config}: settings are valid")
     runBlocking {
         coroutineScope {
-            DaemonAssembly(settings).start(this)
+            DaemonAssembly(settings, HttpLinks).start(this)
             awaitCancellation()
         }
     }
