--- a/daemon/src/main/kotlin/org/buckthornhub/fleet/FleetAssembly.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/fleet/FleetAssembly.kt
@@ -20,6 +20,7 @@
             zone = settings.zone,
             address = "${settings.host}:${settings.port}",
             incarnation = clock.wallMillis(),
+            control = settings.vm in settings.control.members,
         )
     val task: FleetTask = FleetTask(self, FleetSettings(seeds = settings.fleetSeeds), authority.headers(), links, clock)
     val view: StateSource<FleetView> = task.view
--- a/daemon/src/main/kotlin/org/buckthornhub/lease/LeaseAssembly.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/lease/LeaseAssembly.kt
@@ -13,9 +13,12 @@
 import org.buckthornhub.http.HttpLink
 import org.buckthornhub.http.Route
 import org.buckthornhub.http.RouteHandler
+import org.buckthornhub.organisation.OperatorAuthority
 import org.buckthornhub.peer.PeerAuthority
+import org.buckthornhub.promotion.MoveRoutes
 import org.buckthornhub.promotion.PromotionSettings
 import org.buckthornhub.promotion.PromotionTask
+import org.buckthornhub.status.StatusRoutes
 import org.buckthornhub.target.TargetEntry
 import org.buckthornhub.task.Mailbox
 
@@ -32,6 +35,7 @@
     log: ControlLog?,
     replicated: StateSource<ReplicatedView>,
     authority: PeerAuthority,
+    operators: OperatorAuthority,
     links: HttpLink.Factory,
     private val clock: Clock,
     settings: PromotionSettings = PromotionSettings(),
@@ -50,7 +54,10 @@
 
     /** The leases that this daemon holds. */
     val leases: StateSource<HeldLeases> = holder.leases
-    val routes: List<Route> = LeaseRoutes(holder, promotions, authority, leaderOnly).routes()
+    val routes: List<Route> =
+        LeaseRoutes(holder, promotions, authority, leaderOnly).routes() +
+            MoveRoutes(control, promotions, operators, authority, leaderOnly).routes() +
+            StatusRoutes(operators, fleet, replicated, leases, promotions, clock).routes()
 
     fun start(scope: CoroutineScope) {
         holder.start(scope)
