--- a/daemon/src/main/kotlin/org/buckthornhub/daemon/DaemonAssembly.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/daemon/DaemonAssembly.kt
@@ -18,6 +18,7 @@
 import org.buckthornhub.organisation.AuthenticateInterceptor
 import org.buckthornhub.organisation.AuthorizeInterceptor
 import org.buckthornhub.organisation.KeyRecord
+import org.buckthornhub.organisation.OperatorAuthority
 import org.buckthornhub.peer.PeerAuthority
 import org.buckthornhub.platform.PlatformRoutes
 import org.buckthornhub.proxy.Interceptor
@@ -45,6 +46,7 @@
             log = control.log,
             replicated = control.view,
             authority = authority,
+            operators = OperatorAuthority(settings.control.operatorSecret),
             links = links,
             clock = clock,
             leaderOnly = { handler -> control.log?.let { LeaderGuard(it.leadership).guard(handler) } ?: handler },
--- a/daemon/src/test/kotlin/org/buckthornhub/lease/LeaseNode.kt
+++ b/daemon/src/test/kotlin/org/buckthornhub/lease/LeaseNode.kt
@@ -9,6 +9,7 @@
 import org.buckthornhub.fleet.ZoneId
 import org.buckthornhub.http.HttpLinks
 import org.buckthornhub.http.HttpServer
+import org.buckthornhub.organisation.OperatorAuthority
 import org.buckthornhub.peer.PeerAuthority
 import org.buckthornhub.settings.Settings
 import org.buckthornhub.settings.SettingsLoader
@@ -34,6 +35,7 @@
             log = log.takeIf { isControl },
             replicated = { ReplicatedView(log.state.current()) },
             authority = authority,
+            operators = OperatorAuthority(null),
             links = HttpLinks,
             clock = SystemClock,
         )
