--- a/core/src/test/kotlin/org/buckthornhub/target/owner/OwnerCase.kt
+++ b/core/src/test/kotlin/org/buckthornhub/target/owner/OwnerCase.kt
@@ -2,6 +2,7 @@
 
 import org.buckthornhub.error.ErrorKind
 import org.buckthornhub.target.TargetRole
+import kotlin.test.assertEquals
 
 /**
  * Calls and messages to an owner, and what each call comes to.
@@ -21,5 +22,14 @@
     val log: List<String>? = null,
     val untilMillis: Long = 5_000,
 ) {
+    /** Runs the script and compares. */
+    fun check() {
+        val simulation = OwnerSimulation(faults = faults, limits = limits, role = role, model = model)
+        script(simulation)
+        simulation.runUntil(untilMillis)
+        assertEquals(errors, errors.mapValues { simulation.errorOf(it.key) })
+        log?.let { assertEquals(it, simulation.model.log) }
+    }
+
     override fun toString(): String = name
 }
