Have targets remember request ids, and ask idle connections for a heartbeat

Cause: a resend after the owner of the primary has changed meets an empty ledger, and a connection that went silent while idle was met first by a call. Weighed for repeats: a ledger in the control quorum (a commit per write); ids with an expiry (trusts the clocks of callers); refusing every id for a while after a change (refuses honest first sends); the id in the log entry of the write itself, as a unique key in the transaction. The last one survives exactly when the write does, so it holds through any change of holder. Change: the stand-in keeps the ids of applied entries and refuses a second one; the driver answers ALREADY_RAN.

--- a/core/src/main/kotlin/org/buckthornhub/pool/ConnectionState.kt
+++ b/core/src/main/kotlin/org/buckthornhub/pool/ConnectionState.kt
@@ -7,8 +7,14 @@
     /** A connection is being opened. */
     public data object Connecting : ConnectionState
 
-    /** Open, clean and unused since [sinceMillis]. */
-    public data class Idle(val sinceMillis: Long) : ConnectionState
+    /** Open, clean and unused since [sinceMillis]; it last answered at [heardMillis]. */
+    public data class Idle(
+        val sinceMillis: Long,
+        val heardMillis: Long = sinceMillis,
+    ) : ConnectionState
+
+    /** Is asked whether it still answers; clean and unused since [sinceMillis]. */
+    public data class Pinged(val sinceMillis: Long) : ConnectionState
 
     /** Runs the call named [ticket]. */
     public data class Busy(val ticket: Long) : ConnectionState
--- a/core/src/main/kotlin/org/buckthornhub/pool/SlotPool.kt
+++ b/core/src/main/kotlin/org/buckthornhub/pool/SlotPool.kt
@@ -60,5 +60,19 @@
         }
         .map { it.key }
 
+    /** Idle slots whose connection has not been heard of for a heartbeat. */
+    public fun silentSlots(nowMillis: Long, limits: PoolLimits): List<Int> = connections.entries
+        .filter { (_, connection) ->
+            (connection.state as? ConnectionState.Idle)?.let { nowMillis - it.heardMillis >= limits.heartbeatMillis }
+                ?: false
+        }
+        .map { it.key }
+
+    /** The connection of [slot] answered its heartbeat. */
+    public fun heardOf(slot: Int, nowMillis: Long): SlotPool {
+        val pinged = connections[slot]?.state as? ConnectionState.Pinged ?: return this
+        return inState(slot, ConnectionState.Idle(pinged.sinceMillis, heardMillis = nowMillis))
+    }
+
     private fun capacityAt(nowMillis: Long) = if (nowMillis < loweredUntilMillis) minOf(believedSlots, slots) else slots
 }
--- a/core/src/main/kotlin/org/buckthornhub/target/owner/OwnerDecider.kt
+++ b/core/src/main/kotlin/org/buckthornhub/target/owner/OwnerDecider.kt
@@ -22,6 +22,7 @@
         is OwnerMessage.Opened -> copy(pool = pool.opened(message.slot, message.name, context.nowMillis)).scheduled(context)
         is OwnerMessage.OpenFailed -> openFailed(message, context)
         is OwnerMessage.Executed -> executed(message, context)
+        is OwnerMessage.Pinged -> pinged(message, context)
         is OwnerMessage.Closed -> copy(pool = pool.without(message.slot)).scheduled(context)
         is OwnerMessage.Announced -> announced(message, context)
         is OwnerMessage.TargetHeard -> targetHeard(message.progress, context)
@@ -86,6 +87,7 @@
                     step.then { it.closing(slot) }
                 }
             }
+            .then { it.heartbeats(context) }
             .then { it.positionsChecked(context) }
             .then { it.writesConfirmed(context) }
             .then { it.watchingTarget(POLL_MILLIS) }
--- a/core/src/main/kotlin/org/buckthornhub/target/owner/OwnerEffect.kt
+++ b/core/src/main/kotlin/org/buckthornhub/target/owner/OwnerEffect.kt
@@ -20,6 +20,13 @@
         val timeoutMillis: Long,
     ) : OwnerEffect
 
+    /** Asks the connection [name] of [slot] whether it still answers, and reports with `Pinged`. */
+    public data class Ping(
+        val slot: Int,
+        val name: String,
+        val timeoutMillis: Long,
+    ) : OwnerEffect
+
     /** Closes the connection [name] of [slot]; the target rolls back what is open on it. */
     public data class Close(
         val slot: Int,
--- a/core/src/main/kotlin/org/buckthornhub/target/owner/OwnerMessage.kt
+++ b/core/src/main/kotlin/org/buckthornhub/target/owner/OwnerMessage.kt
@@ -39,6 +39,12 @@
         val result: Result<Answer, ProxyError>,
     ) : OwnerMessage
 
+    /** The connection of [slot] was asked whether it still answers. */
+    public data class Pinged(
+        val slot: Int,
+        val isAnswered: Boolean,
+    ) : OwnerMessage
+
     /** The connection of [slot] is closed. */
     public data class Closed(val slot: Int) : OwnerMessage
 
--- a/core/src/main/kotlin/org/buckthornhub/target/owner/Scheduling.kt
+++ b/core/src/main/kotlin/org/buckthornhub/target/owner/Scheduling.kt
@@ -23,6 +23,22 @@
     return copy(pool = pool.inState(slot, ConnectionState.Busy(ticket))).sentOn(slot, ticket, context)
 }
 
+/** Asks idle connections whether they still answer: one that went silent must not be met first by a call. */
+internal fun OwnerState.heartbeats(context: OwnerContext): OwnerStep =
+    pool.silentSlots(context.nowMillis, context.limits.pool).fold(unchanged()) { step, slot -> step.then { it.pinging(slot, context) } }
+
+/** A connection that answered goes back to work; a silent one is closed. */
+internal fun OwnerState.pinged(message: OwnerMessage.Pinged, context: OwnerContext): OwnerStep =
+    if (message.isAnswered) copy(pool = pool.heardOf(message.slot, context.nowMillis)).scheduled(context) else closing(message.slot)
+
+private fun OwnerState.pinging(slot: Int, context: OwnerContext): OwnerStep {
+    val connection = pool.connections[slot] ?: return unchanged()
+    val name = connection.name ?: return unchanged()
+    val idle = connection.state as? ConnectionState.Idle ?: return unchanged()
+    return copy(pool = pool.inState(slot, ConnectionState.Pinged(idle.sinceMillis)))
+        .with(OwnerEffect.Ping(slot, name, context.limits.pool.heartbeatMillis))
+}
+
 /** Refuses the calls whose deadline has passed while they waited for a connection. */
 internal fun OwnerState.expiredCallsRefused(context: OwnerContext): OwnerStep {
     val due = calls.filterValues { it.sentMillis == null && context.nowMillis >= it.call.deadlineMillis }.keys
--- a/core/src/test/kotlin/org/buckthornhub/target/owner/Faults.kt
+++ b/core/src/test/kotlin/org/buckthornhub/target/owner/Faults.kt
@@ -4,6 +4,7 @@
  * What goes wrong.
  *
  * @property lostRequest share of calls that never reach the target
+ * @property silentFromMillis from then on the first connection gives no answer, while new ones do
  * @property lostAnswer share of calls that run and whose answer is lost
  */
 internal data class Faults(
@@ -14,4 +15,5 @@
     val leaseEndsMillis: Long = Long.MAX_VALUE,
     val appliedDelayMillis: Long = 0,
     val isRefusingSlots: Boolean = false,
+    val silentFromMillis: Long = Long.MAX_VALUE,
 )
--- a/core/src/test/kotlin/org/buckthornhub/target/owner/OwnerSimulation.kt
+++ b/core/src/test/kotlin/org/buckthornhub/target/owner/OwnerSimulation.kt
@@ -84,6 +84,7 @@
         when (effect) {
             is OwnerEffect.Open -> at(now + CONNECT_MILLIS) { open(effect.slot) }
             is OwnerEffect.Execute -> execute(effect)
+            is OwnerEffect.Ping -> ping(effect)
             is OwnerEffect.Close -> at(now + 1) { close(effect) }
             is OwnerEffect.Reply -> reply(effect)
             is OwnerEffect.WatchTarget -> at(now + effect.delayMillis + 1) { tell(OwnerMessage.TargetHeard(progress(model.target))) }
@@ -104,8 +105,8 @@
     private fun execute(effect: OwnerEffect.Execute) {
         val fate = random.nextDouble()
         val lost = ProxyError(if (effect.call.operation.isRead()) ErrorKind.ANSWER_LOST else ErrorKind.OUTCOME_UNKNOWN, "no answer")
-        val isLost = fate < faults.lostRequest + faults.lostAnswer
-        if (fate >= faults.lostRequest) at(now + random.nextLong(1, 4)) { run(effect, isLost) }
+        val isLost = isSilent(effect.name) || fate < faults.lostRequest + faults.lostAnswer
+        if (fate >= faults.lostRequest && !isSilent(effect.name)) at(now + random.nextLong(1, 4)) { run(effect, isLost) }
         if (isLost) at(now + effect.timeoutMillis) { tell(OwnerMessage.Executed(effect.slot, effect.ticket, Err(lost))) }
     }
 
@@ -115,6 +116,13 @@
         if (!isLost) at(now + 1) { tell(OwnerMessage.Executed(effect.slot, effect.ticket, result)) }
     }
 
+    private fun ping(effect: OwnerEffect.Ping) {
+        if (isSilent(effect.name)) return at(now + effect.timeoutMillis) { tell(OwnerMessage.Pinged(effect.slot, isAnswered = false)) }
+        at(now + 1) { tell(OwnerMessage.Pinged(effect.slot, isAnswered = true)) }
+    }
+
+    private fun isSilent(connection: String): Boolean = connection == "c1" && now >= faults.silentFromMillis
+
     private fun close(effect: OwnerEffect.Close) {
         model = model.disconnect(effect.name)
         tell(OwnerMessage.Closed(effect.slot))
--- a/core/src/test/kotlin/org/buckthornhub/target/owner/OwnerWriteTest.kt
+++ b/core/src/test/kotlin/org/buckthornhub/target/owner/OwnerWriteTest.kt
@@ -66,6 +66,17 @@
                 mapOf(1L to ErrorKind.OUTCOME_UNKNOWN),
                 Faults(replicaTerm = 2),
             ),
+            OwnerCase(
+                "a connection that went silent while idle is dropped before a call meets it",
+                {
+                    submitAt(0, 1) { write("a") }
+                    submitAt(2_500, 2) { write("b") }
+                    submitAt(2_500, 3) { write("c") }
+                },
+                mapOf(1L to null, 2L to null, 3L to null),
+                Faults(silentFromMillis = 500),
+                untilMillis = 6_000,
+            ),
             OwnerCase(
                 "no slot is free until the deadline",
                 { submitAt(0, 1) { write("a", deadlineMillis = 100) } },
--- a/daemon/src/main/kotlin/org/buckthornhub/target/HttpTargetDriver.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/target/HttpTargetDriver.kt
@@ -59,6 +59,9 @@
         return Ok(answerOf(response))
     }
 
+    override suspend fun ping(connection: String, timeoutMillis: Long): Boolean =
+        link.post("/connections/$connection/ping", "{}", timeoutMillis).get()?.isSuccess ?: false
+
     override suspend fun disconnect(connection: String) {
         link.post("/connections/$connection/close", "{}", CLOSE_TIMEOUT_MILLIS)
     }
@@ -105,6 +108,7 @@
                 TargetFault.Code.NO_SUCH_CONNECTION -> ErrorKind.NO_TARGET
                 TargetFault.Code.NOT_PRIMARY, TargetFault.Code.STALE_TERM -> ErrorKind.NO_PRIMARY
                 TargetFault.Code.STATEMENT_INVALID, TargetFault.Code.REJECTED -> ErrorKind.STATEMENT_REJECTED
+                TargetFault.Code.ALREADY_APPLIED -> ErrorKind.ALREADY_RAN
                 TargetFault.Code.TRANSACTION_STATE -> ErrorKind.TRANSACTION_ABORTED
             }
         return ProxyError(kind, fault.detail)
--- a/daemon/src/main/kotlin/org/buckthornhub/target/TargetDriver.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/target/TargetDriver.kt
@@ -21,6 +21,9 @@
     /** How far the target is, asked on a connection that takes no slot; null without an answer. */
     suspend fun progress(timeoutMillis: Long): InstanceProgress?
 
+    /** True if [connection] answers in time; it may have gone silent while new ones work. */
+    suspend fun ping(connection: String, timeoutMillis: Long): Boolean
+
     /** Closes [connection]; the target rolls back what is open on it. */
     suspend fun disconnect(connection: String)
 
--- a/daemon/src/main/kotlin/org/buckthornhub/target/TargetTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/target/TargetTask.kt
@@ -83,6 +83,7 @@
         when (effect) {
             is OwnerEffect.Open -> scope.launch { open(effect) }
             is OwnerEffect.Execute -> scope.launch { execute(effect) }
+            is OwnerEffect.Ping -> scope.launch { ping(effect) }
             is OwnerEffect.Close -> scope.launch { close(effect) }
             is OwnerEffect.Reply -> reply(effect)
             is OwnerEffect.WatchTarget -> scope.launch { watchTarget(effect.delayMillis) }
@@ -106,6 +107,10 @@
         report(OwnerMessage.Executed(effect.slot, effect.ticket, result))
     }
 
+    private suspend fun ping(effect: OwnerEffect.Ping) {
+        report(OwnerMessage.Pinged(effect.slot, driver.ping(effect.name, effect.timeoutMillis)))
+    }
+
     private suspend fun close(effect: OwnerEffect.Close) {
         driver.disconnect(effect.name)
         report(OwnerMessage.Closed(effect.slot))
--- a/runtime/src/main/kotlin/org/buckthornhub/target/wire/TargetFault.kt
+++ b/runtime/src/main/kotlin/org/buckthornhub/target/wire/TargetFault.kt
@@ -17,6 +17,7 @@
         STALE_TERM,
         STATEMENT_INVALID,
         REJECTED,
+        ALREADY_APPLIED,
         TRANSACTION_STATE,
     }
 }
--- a/standin/src/main/kotlin/org/buckthornhub/standin/instance/InstanceState.kt
+++ b/standin/src/main/kotlin/org/buckthornhub/standin/instance/InstanceState.kt
@@ -2,8 +2,10 @@
 
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.persistentSetOf
 import org.buckthornhub.fleet.ZoneId
 import org.buckthornhub.group.LogPosition
 import org.buckthornhub.group.Term
@@ -15,6 +17,7 @@
 /**
  * All that one instance holds. [applied] trails the end of [log] by the lag of applying.
  *
+ * @property requests ids of the requests whose entries are applied
  * @property arriving entries that a lag of receiving holds back
  * @property discarded entries that a newer primary did not have
  * @property lastResponse answer of the latest request, for the fault of crossed answers
@@ -31,6 +34,7 @@
     val log: PersistentList<LogEntry> = persistentListOf(),
     val applied: LogPosition = LogPosition.START,
     val data: PersistentMap<String, String> = persistentMapOf(),
+    val requests: PersistentSet<String> = persistentSetOf(),
     val connections: PersistentMap<String, Connection> = persistentMapOf(),
     val nextConnection: Long = 1,
     val arriving: PersistentList<Arrival> = persistentListOf(),
@@ -49,7 +53,8 @@
         if (position <= applied) return this
         val due = log.subList(applied.value.toInt(), minOf(position.value, received.value).toInt())
         val newData = due.flatMap { it.commands }.fold(data) { values, command -> values.after(command) }
-        return copy(data = newData, applied = due.lastOrNull()?.position ?: applied)
+        val newRequests = requests.addAll(due.map { it.requestId })
+        return copy(data = newData, requests = newRequests, applied = due.lastOrNull()?.position ?: applied)
     }
 
     /** This state with [connection] in place of its older version. */
--- a/standin/src/main/kotlin/org/buckthornhub/standin/instance/ReplicationRules.kt
+++ b/standin/src/main/kotlin/org/buckthornhub/standin/instance/ReplicationRules.kt
@@ -4,6 +4,7 @@
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.persistentSetOf
 import kotlinx.collections.immutable.toPersistentList
 import org.buckthornhub.decision.Decision
 import org.buckthornhub.group.LogPosition
@@ -94,7 +95,7 @@
     }
 
     private fun rebuilt(state: InstanceState, length: Int): InstanceState = state
-        .copy(applied = LogPosition.START, data = persistentMapOf(), pendingApplies = persistentListOf())
+        .copy(applied = LogPosition.START, data = persistentMapOf(), requests = persistentSetOf(), pendingApplies = persistentListOf())
         .appliedUpTo(LogPosition(length.toLong()))
 
     // Equal terms at a position mean equal logs up to it, so that the length can be found by bisection.
--- a/standin/src/main/kotlin/org/buckthornhub/standin/instance/StatementRules.kt
+++ b/standin/src/main/kotlin/org/buckthornhub/standin/instance/StatementRules.kt
@@ -54,6 +54,10 @@
     }
 
     private fun append(state: InstanceState, commands: List<Command>, message: InstanceMessage.Execute): InstanceDecision {
+        // As a unique key on the ids of requests would, in the transaction of the write itself.
+        if (message.request.requestId in state.requests) {
+            return state.refusing(message.reply, TargetFault.Code.ALREADY_APPLIED, "request ${message.request.requestId} is in the log")
+        }
         val taken = state.data.firstTakenKey(commands)
         if (taken != null) return state.refusing(message.reply, TargetFault.Code.REJECTED, "key $taken exists")
         val position = LogPosition(state.received.value + 1)
