--- a/runtime/src/main/kotlin/org/buckthornhub/http/HttpServer.kt
+++ b/runtime/src/main/kotlin/org/buckthornhub/http/HttpServer.kt
@@ -17,6 +17,7 @@
 import io.ktor.server.routing.routing
 import io.ktor.util.toMap
 import io.ktor.utils.io.readRemaining
+import kotlinx.coroutines.CancellationException
 import kotlinx.io.readString
 
 /**
@@ -57,6 +58,8 @@
         val reply =
             try {
                 if (body.length > maxBodyBytes) tooLarge else handler.handle(requestOf(call, body))
+            } catch (e: CancellationException) {
+                throw e // The caller is gone or the server stops: no fault of the handler.
             } catch (e: RuntimeException) {
                 logger.error(e) { "handler of ${call.request.path()} failed" }
                 onFault
