Give each run of the load tool request ids of its own, and let latencies start after a warm-up

Cause: two runs against one fleet used the same request ids, which a proxy that remembers request ids has to refuse. Latencies of short runs were those of processes that had just started.

Weighed: leaving the first seconds out of every figure. Ruled out: counts of statements, refusals and violations must cover the whole run.

--- a/cli/src/main/kotlin/org/buckthornhub/cli/load/LoadCommand.kt
+++ b/cli/src/main/kotlin/org/buckthornhub/cli/load/LoadCommand.kt
@@ -42,6 +42,9 @@
     @Option(name = "--duration-ms", metaVar = "MS", usage = "length of the run (10000)")
     var durationMillis: Long = DEFAULT_DURATION_MILLIS
 
+    @Option(name = "--warm-up-ms", metaVar = "MS", usage = "latencies are taken after so long; all else counts from the start (0)")
+    var warmUpMillis: Long = 0
+
     @Option(name = "--seed", metaVar = "N", usage = "seed of every random choice (1)")
     var seed: Long = 1
 
@@ -51,6 +54,9 @@
     @Option(name = "--stand-ins", metaVar = "HOST:PORT/INSTANCES,...", usage = "stand-in groups whose logs are checked")
     var standIns: String = ""
 
+    @Option(name = "--run", metaVar = "NAME", usage = "part of every request id; has to be new for each run (the time)")
+    var runName: String = SystemClock.wallMillis().toString(RADIX)
+
     @Option(name = "--faults", metaVar = "FILE", usage = "faults to cause on the way, a JSON list; see docs/design/stand-in-and-load.md")
     var faults: String? = null
 
@@ -73,7 +79,7 @@
             }
         val evidence = LoadRun(plan, HttpLinks, SystemClock) { System.err.println("load: $it") }.run()
         val findings = Findings.of(evidence)
-        val summary = Summarizer().summarize(evidence, findings)
+        val summary = Summarizer(warmUpMillis).summarize(evidence, findings)
         report?.let { File(it).writeText(HtmlReport().render(evidence, summary)) }
         print(evidence, findings, summary)
         return if (findings.isCorrect) ExitCode.DONE.code else ExitCode.REFUSED.code
@@ -88,6 +94,7 @@
     }
 
     private companion object {
+        const val RADIX = 36
         const val DEFAULT_SESSIONS = 4
         const val DEFAULT_READ_SHARE = 0.7
         const val DEFAULT_DURATION_MILLIS = 10_000L
--- a/cli/src/main/kotlin/org/buckthornhub/cli/load/LoadPlanReader.kt
+++ b/cli/src/main/kotlin/org/buckthornhub/cli/load/LoadPlanReader.kt
@@ -30,7 +30,8 @@
         (0 until options.sessions).map { index ->
             SessionPlan(
                 organisation = organisation,
-                name = "$organisation/$index",
+                name = "$organisation/${options.runName}-$index",
+                neighbour = "$organisation/${options.runName}-0",
                 groups = list(options.groups),
                 offeredPerSecond = (offered[organisation] ?: DEFAULT_OFFERED_PER_SECOND) / options.sessions,
                 readShare = options.readShare,
--- a/load/src/main/kotlin/org/buckthornhub/load/report/Summarizer.kt
+++ b/load/src/main/kotlin/org/buckthornhub/load/report/Summarizer.kt
@@ -11,8 +11,12 @@
 import org.buckthornhub.load.history.errorKind
 import kotlin.math.round
 
-/** Counts the figures of a run. */
-public class Summarizer {
+/**
+ * Counts the figures of a run.
+ *
+ * @param warmUpMillis latencies are taken of what was sent later than this after the start; all else counts from the start
+ */
+public class Summarizer(private val warmUpMillis: Long = 0) {
     public fun summarize(evidence: Evidence, findings: Findings): Summary {
         val served = evidence.history.attempts.filter { it.outcome is Outcome.Served }
         val reads = served.filter { it.type == StatementType.READ }
@@ -37,7 +41,8 @@
 
     private fun latenciesOf(served: List<Attempt>): Histogram {
         val histogram = Histogram(SIGNIFICANT_DIGITS)
-        served.forEach { histogram.recordValue(it.endedMillis - it.sentMillis) }
+        val fromMillis = (served.minOfOrNull { it.sentMillis } ?: 0) + warmUpMillis
+        served.filter { it.sentMillis >= fromMillis }.forEach { histogram.recordValue(it.endedMillis - it.sentMillis) }
         return histogram
     }
 
--- a/load/src/main/kotlin/org/buckthornhub/load/session/StatementSource.kt
+++ b/load/src/main/kotlin/org/buckthornhub/load/session/StatementSource.kt
@@ -25,7 +25,7 @@
         val isForeign = plan.acceptedAgesMillis.isNotEmpty() && random.nextDouble() < FOREIGN_SHARE
         if (!isForeign) return LoadStatement(requestId, group, StatementType.READ, key)
         val age = plan.acceptedAgesMillis[random.nextInt(plan.acceptedAgesMillis.size)]
-        val neighbour = "${plan.organisation}/0/${key.substringAfterLast('/')}"
+        val neighbour = "${plan.neighbour}/${key.substringAfterLast('/')}"
         return LoadStatement(requestId, group, StatementType.READ, neighbour, acceptedAgeMillis = age)
     }
 
