--- a/standin/src/main/kotlin/org/buckthornhub/standin/instance/InstanceTask.kt
+++ b/standin/src/main/kotlin/org/buckthornhub/standin/instance/InstanceTask.kt
@@ -35,7 +35,7 @@
     }
 
     private companion object {
-        const val TICK_MILLIS = 5L
+        const val TICK_MILLIS = 10L
         const val HEARTBEAT_MILLIS = 100L
         val logger = KotlinLogging.logger {}
     }
