Compare three ways of sharing a limit on the same traces; draw on the zones in turn

Cause: asking the own zone first emptied its bucket while the others were full and minted nothing, and settlements for several organisations went to one holder. Change: rounds of asks begin at the zones in turn; a round that left somebody waiting pauses for as long as the fleet needs to mint what is missing; an idle purse is not refilled.

--- a/core/src/main/kotlin/org/buckthornhub/limit/AskPlanner.kt
+++ b/core/src/main/kotlin/org/buckthornhub/limit/AskPlanner.kt
@@ -21,15 +21,19 @@
         val isLow = purse.spendable(nowMillis) < TokenAmount.ONE * (purse.expected() / 2)
         if (purse.waiting.isEmpty()) {
             return if (isLow) {
-                ask(state, organisation, purse, state.zones.take(1), wanted, nowMillis)
+                ask(state, organisation, purse, listOf(firstZone(state, purse)), wanted, nowMillis)
             } else {
                 Decision(state.withPurse(organisation, purse))
             }
         }
-        val zones = if (purse.areOthersAsked) state.zones.drop(1) else state.zones.take(1)
+        val first = firstZone(state, purse)
+        val zones = if (purse.areOthersAsked) state.zones - first else listOf(first)
         return ask(state, organisation, purse, zones, wanted, nowMillis)
     }
 
+    // Drawing on the zones in turn keeps their buckets level, so that none is full, and mints nothing, while another is empty.
+    private fun firstZone(state: TokenClientState, purse: Purse): ZoneId = state.zones[purse.rounds % state.zones.size]
+
     /** What follows when the last ask of a round was answered. */
     fun afterRound(
         state: TokenClientState,
@@ -37,19 +41,24 @@
         purse: Purse,
         nowMillis: Long,
     ): Decision<TokenClientState, TokenClientEffect> {
-        val isRoundOver = purse.areOthersAsked || state.zones.size <= 1 || purse.waiting.isEmpty()
+        val nextRound = purse.copy(areOthersAsked = false, missing = TokenAmount.ZERO, rounds = purse.rounds + 1)
+        // A purse that nobody waits for is filled again when the next request comes.
+        if (purse.waiting.isEmpty()) return Decision(state.withPurse(organisation, nextRound))
         val next =
             when {
-                !isRoundOver -> purse.copy(areOthersAsked = true)
-                purse.hasGained -> purse.copy(areOthersAsked = false, hasGained = false)
-                else -> purse.copy(areOthersAsked = false, nextRoundMillis = nowMillis + pauseMillis(purse, nowMillis))
+                purse.missing <= TokenAmount.ZERO -> nextRound
+                purse.areOthersAsked || state.zones.size <= 1 -> exhausted(nextRound, nowMillis)
+                else -> purse.copy(areOthersAsked = true)
             }
         return plan(state, organisation, next, nowMillis)
     }
 
-    // All holders were empty: nothing can come before the fleet has minted what is missing.
-    private fun pauseMillis(purse: Purse, nowMillis: Long): Long =
-        purse.limit.millisToMint(TokenAmount.ONE - purse.spendable(nowMillis)).coerceIn(MIN_PAUSE_MILLIS, MAX_PAUSE_MILLIS)
+    // All holders gave what they had: nothing can come before the fleet has minted what is missing.
+    private fun exhausted(purse: Purse, nowMillis: Long): Purse {
+        val missingMillis = purse.limit.millisToMint(TokenAmount.ONE - purse.spendable(nowMillis))
+        val pauseMillis = missingMillis.coerceIn(MIN_PAUSE_MILLIS, MAX_PAUSE_MILLIS)
+        return purse.copy(nextRoundMillis = nowMillis + pauseMillis)
+    }
 
     private fun ask(
         state: TokenClientState,
@@ -59,7 +68,7 @@
         amount: TokenAmount,
         nowMillis: Long,
     ): Decision<TokenClientState, TokenClientEffect> {
-        val start = state.withPurse(organisation, purse) to persistentListOf<TokenClientEffect>()
+        val start = state.withPurse(organisation, purse.copy(missing = amount)) to persistentListOf<TokenClientEffect>()
         val (next, sends) = zones.fold(start) { (rest, sends), zone -> askZone(rest, sends, organisation, zone, amount, nowMillis) }
         return Decision(next, sends)
     }
--- a/core/src/main/kotlin/org/buckthornhub/limit/Purse.kt
+++ b/core/src/main/kotlin/org/buckthornhub/limit/Purse.kt
@@ -8,8 +8,9 @@
 /**
  * What one daemon holds and waits for on behalf of one organisation.
  *
- * @property areOthersAsked true while the asks in flight go to the other zones, not to the own one
- * @property hasGained true if an ask of this round brought tokens
+ * @property areOthersAsked true while the asks in flight go to the zones that were not asked first
+ * @property missing what the asks in flight wanted and did not get yet
+ * @property rounds rounds of asks so far, which choose the zone to ask first
  * @property nextRoundMillis no asks before this time, because all holders were empty a moment ago
  * @property windowAdmitted admissions in the window that began at [windowMillis]; [lastAdmitted] in the one before
  */
@@ -20,7 +21,8 @@
     val waiting: PersistentList<WaitingAdmission> = persistentListOf(),
     val asks: PersistentMap<Long, PendingAsk> = persistentMapOf(),
     val areOthersAsked: Boolean = false,
-    val hasGained: Boolean = false,
+    val missing: TokenAmount = TokenAmount.ZERO,
+    val rounds: Int = 0,
     val nextRoundMillis: Long = 0,
     val windowMillis: Long = 0,
     val windowAdmitted: Int = 0,
--- a/core/src/main/kotlin/org/buckthornhub/limit/TokenClientDecider.kt
+++ b/core/src/main/kotlin/org/buckthornhub/limit/TokenClientDecider.kt
@@ -86,8 +86,8 @@
     private fun filled(purse: Purse, pending: PendingAsk, grant: TokenGrant): Purse {
         val validUntilMillis = pending.sentMillis + timing.lessDrift(grant.validForMillis)
         return purse.copy(
+            missing = purse.missing - grant.amount,
             batches = purse.batches.add(TokenBatch(grant.batch, pending.zone, grant.amount, validUntilMillis)),
-            hasGained = true,
         )
     }
 
--- /dev/null
+++ b/core/src/test/kotlin/org/buckthornhub/limit/LedgerStep.kt
@@ -0,0 +1,32 @@
+package org.buckthornhub.limit
+
+import org.buckthornhub.fleet.VmId
+import org.buckthornhub.fleet.ZoneId
+import org.buckthornhub.organisation.OrganisationId
+
+/**
+ * One claim at the ledger and the parts that it has to get.
+ *
+ * @property atMillis time of the leader
+ */
+internal data class LedgerStep(
+    val atMillis: Long,
+    val zone: String,
+    val parts: Int,
+    val vm: String = "vm-$zone",
+    val epoch: Long = 1,
+    val term: Long = 2,
+    val held: Int = 0,
+    val heldAskedMillis: Long = 0,
+    val zones: Set<String> = setOf("a", "b"),
+) {
+    fun message(): ShareLedgerMessage.Requested {
+        val claim = ShareClaim(LEDGER_ORGANISATION, held, heldAskedMillis)
+        val request = ShareRequest(HolderId(VmId(vm), epoch), ZoneId(zone), term, askedMillis = atMillis, claims = listOf(claim))
+        return ShareLedgerMessage.Requested(replyId = atMillis, request = request, zones = zones.map { ZoneId(it) }.toSet())
+    }
+
+    companion object {
+        val LEDGER_ORGANISATION = OrganisationId("o")
+    }
+}
--- a/core/src/test/kotlin/org/buckthornhub/limit/LimitRecorder.kt
+++ b/core/src/test/kotlin/org/buckthornhub/limit/LimitRecorder.kt
@@ -6,20 +6,23 @@
     private val time: VirtualTime,
 ) {
     private val exact = ExactBucket(limit)
+    private val alone = ExactBucket(limit)
 
     var record = LimitRecord()
         private set
 
     fun arrived() {
-        record = record.copy(arrived = record.arrived + 1)
+        val isRefused = !alone.hasToken(time.nowMicros)
+        if (!isRefused) alone.spend(time.nowMicros)
+        record = record.copy(arrived = record.arrived + 1, refusedByExact = record.refusedByExact + if (isRefused) 1 else 0)
     }
 
     fun ended(isAdmitted: Boolean) {
-        val had = if (isAdmitted) exact.spend(time.nowMicros) else exact.hasToken(time.nowMicros)
-        record =
-            when {
-                isAdmitted -> record.copy(admitted = record.admitted + 1, overAdmitted = record.overAdmitted + if (had) 0 else 1)
-                else -> record.copy(refused = record.refused + 1, wrongful = record.wrongful + if (had) 1 else 0)
-            }
+        if (!isAdmitted) {
+            record = record.copy(refused = record.refused + 1)
+            return
+        }
+        val isOver = !exact.spend(time.nowMicros)
+        record = record.copy(admitted = record.admitted + 1, overAdmitted = record.overAdmitted + if (isOver) 1 else 0)
     }
 }
--- /dev/null
+++ b/core/src/test/kotlin/org/buckthornhub/limit/ShareLedgerDeciderTest.kt
@@ -0,0 +1,65 @@
+package org.buckthornhub.limit
+
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.MethodSource
+import kotlin.test.assertEquals
+
+/** Which claims a control leader grants. */
+internal class ShareLedgerDeciderTest {
+    @ParameterizedTest
+    @MethodSource("cases")
+    fun `each claim gets its parts`(case: LedgerCase) {
+        val decider = ShareLedgerDecider(leaseMillis = 1_000)
+        val began = decider.decide(ShareLedger(), ShareLedgerMessage.LeadershipBegan(controlTerm = 2, sinceMillis = 0), 0).state
+        case.steps.foldIndexed(began) { index, ledger, step ->
+            val decision = decider.decide(ledger, step.message(), step.atMillis)
+            val reply = decision.effects.single() as ShareLedgerEffect.Reply
+            assertEquals(step.parts, reply.reply.partsPerMillion[LedgerStep.LEDGER_ORGANISATION] ?: 0, "step $index: $step")
+            decision.state
+        }
+    }
+
+    private companion object {
+        const val HALF = 500_000
+        const val THIRD = 333_333
+
+        @JvmStatic
+        fun cases(): List<LedgerCase> = listOf(
+            LedgerCase("a new leader grants nothing new for one lease", listOf(LedgerStep(1_000, "a", 0), LedgerStep(1_001, "a", HALF))),
+            LedgerCase(
+                "a new leader renews what is held",
+                listOf(LedgerStep(10, "a", HALF, held = HALF), LedgerStep(20, "b", HALF, held = HALF)),
+            ),
+            LedgerCase("a claim that names an older term gets nothing", listOf(LedgerStep(10, "a", 0, held = HALF, term = 1))),
+            LedgerCase(
+                "a zone whose share was not claimed waits until it has expired",
+                listOf(LedgerStep(10, "a", HALF, held = HALF), LedgerStep(900, "b", 0), LedgerStep(1_100, "b", HALF)),
+            ),
+            LedgerCase(
+                "another daemon of the zone waits for the lease",
+                listOf(
+                    LedgerStep(2_000, "a", HALF),
+                    LedgerStep(2_900, "a", 0, vm = "other"),
+                    LedgerStep(3_001, "a", HALF, vm = "other"),
+                ),
+            ),
+            LedgerCase(
+                "a restarted daemon waits for the lease of its earlier run",
+                listOf(LedgerStep(2_000, "a", HALF), LedgerStep(2_500, "a", 0, epoch = 2), LedgerStep(3_001, "a", HALF, epoch = 2)),
+            ),
+            LedgerCase(
+                "a third zone gets what the others gave up for certain",
+                listOf(
+                    LedgerStep(2_000, "a", HALF),
+                    LedgerStep(2_000, "b", HALF),
+                    LedgerStep(2_100, "a", THIRD, zones = setOf("a", "b", "c")),
+                    LedgerStep(2_110, "b", THIRD, zones = setOf("a", "b", "c")),
+                    LedgerStep(2_120, "c", 0, zones = setOf("a", "b", "c")),
+                    LedgerStep(2_200, "a", THIRD, held = THIRD, heldAskedMillis = 2_100, zones = setOf("a", "b", "c")),
+                    LedgerStep(2_210, "c", 166_667, zones = setOf("a", "b", "c")),
+                    LedgerStep(3_120, "c", THIRD, zones = setOf("a", "b", "c")),
+                ),
+            ),
+        )
+    }
+}
--- a/core/src/test/kotlin/org/buckthornhub/limit/SimulatedDaemon.kt
+++ b/core/src/test/kotlin/org/buckthornhub/limit/SimulatedDaemon.kt
@@ -105,10 +105,15 @@
         }
     }
 
+    // Each organisation has its own holder in a zone, so one send may go to several daemons.
     private fun send(effect: TokenClientEffect.Send) {
-        val organisation = effect.request.asks.firstOrNull()?.organisation ?: effect.request.settlements.first().organisation
-        fleet.ask(this, effect.zone, organisation, effect.request) { reply ->
-            awake { onClient(TokenClientMessage.Answered(effect.zone, effect.request.asks, reply)) }
+        val settlements = effect.request.settlements.groupBy { it.organisation }
+        val asks = effect.request.asks.groupBy { it.organisation }
+        (settlements.keys + asks.keys).forEach { organisation ->
+            val request = TokenRequest(settlements[organisation].orEmpty(), asks[organisation].orEmpty())
+            fleet.ask(this, effect.zone, organisation, request) { reply ->
+                awake { onClient(TokenClientMessage.Answered(effect.zone, request.asks, reply)) }
+            }
         }
     }
 
--- /dev/null
+++ b/core/src/test/kotlin/org/buckthornhub/limit/TraceResult.kt
@@ -0,0 +1,19 @@
+package org.buckthornhub.limit
+
+/**
+ * What a trace came to, with one record for each organisation.
+ *
+ * @property messagesPerSecond messages each daemon sent a second, replies counted too
+ */
+internal data class TraceResult(
+    val records: List<LimitRecord>,
+    val messagesPerSecond: Double,
+) {
+    val arrived get() = records.sumOf { it.arrived }
+    val admitted get() = records.sumOf { it.admitted }
+    val overAdmitted get() = records.sumOf { it.overAdmitted }
+    val refusedByExact get() = records.sumOf { it.refusedByExact }
+    val wrongful get() = records.sumOf { it.wrongful }
+    val wrongfulPercent get() = 100.0 * wrongful / arrived
+    val worstWrongfulPercent get() = records.maxOf { 100.0 * it.wrongful / it.arrived }
+}
