--- a/daemon/src/main/kotlin/org/buckthornhub/daemon/DaemonAssembly.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/daemon/DaemonAssembly.kt
@@ -5,17 +5,20 @@
 import kotlinx.coroutines.CoroutineScope
 import org.buckthornhub.caller.CallerRoutes
 import org.buckthornhub.clock.SystemClock
-import org.buckthornhub.fleet.AnnounceRoutes
-import org.buckthornhub.fleet.FleetTask
+import org.buckthornhub.control.ReplicatedView
+import org.buckthornhub.fleet.FleetAssembly
+import org.buckthornhub.fleet.FleetView
 import org.buckthornhub.fleet.StateSource
 import org.buckthornhub.http.HttpLinks
 import org.buckthornhub.http.HttpServer
 import org.buckthornhub.http.PeerJson
+import org.buckthornhub.lease.HeldLeases
 import org.buckthornhub.limit.Admission
 import org.buckthornhub.limit.AdmitInterceptor
 import org.buckthornhub.organisation.AuthenticateInterceptor
 import org.buckthornhub.organisation.AuthorizeInterceptor
 import org.buckthornhub.organisation.Configuration
+import org.buckthornhub.peer.PeerAuthority
 import org.buckthornhub.platform.PlatformRoutes
 import org.buckthornhub.proxy.Proxy
 import org.buckthornhub.routing.ReplicaRoutePolicy
@@ -24,7 +27,7 @@
 import org.buckthornhub.session.SessionCodec
 import org.buckthornhub.settings.Settings
 import org.buckthornhub.target.ExecuteInterceptor
-import org.buckthornhub.target.GatewayTask
+import org.buckthornhub.target.TargetAssembly
 import java.io.File
 
 /** Builds the tasks of one daemon and connects them. */
@@ -35,26 +38,29 @@
     /** Starts every task in [scope], then listens. */
     fun start(scope: CoroutineScope) {
         val configuration = initialConfiguration()
-        val fleet = FleetTask(clock)
-        val gateway = GatewayTask(fleet, HttpLinks, clock)
+        val authority = PeerAuthority(settings.fleetSecret)
+        val fleet = FleetAssembly(settings, authority, HttpLinks, clock)
+        val targets = TargetAssembly(settings, clock, fleet.view, StateSource { ReplicatedView() }, StateSource { HeldLeases() })
         fleet.start(scope)
-        gateway.start(scope)
-        val proxy = Proxy(interceptors(StateSource { configuration }, fleet, gateway))
+        targets.start(scope)
+        val proxy = Proxy(interceptors(StateSource { configuration }, fleet.view, targets))
         val routes =
             CallerRoutes(proxy, sessionCodec, clock, settings.defaultDeadlineMillis).routes() +
-                AnnounceRoutes(fleet).routes() +
+                fleet.routes +
+                targets.routes() +
                 PlatformRoutes { true }.routes()
         HttpServer(settings.host, settings.port, routes, settings.maxBodyBytes).start()
     }
 
-    private fun interceptors(configuration: StateSource<Configuration>, fleet: FleetTask, gateway: GatewayTask) = persistentListOf(
-        AuthenticateInterceptor(configuration),
-        ResumeSessionInterceptor(sessionCodec),
-        AuthorizeInterceptor(configuration),
-        AdmitInterceptor(Admission { _, _, _ -> Ok(0) }),
-        RouteInterceptor(ReplicaRoutePolicy(), fleet, settings.zone, clock),
-        ExecuteInterceptor(gateway),
-    )
+    private fun interceptors(configuration: StateSource<Configuration>, fleet: StateSource<FleetView>, targets: TargetAssembly) =
+        persistentListOf(
+            AuthenticateInterceptor(configuration),
+            ResumeSessionInterceptor(sessionCodec),
+            AuthorizeInterceptor(configuration),
+            AdmitInterceptor(Admission { _, _, _ -> Ok(0) }),
+            RouteInterceptor(ReplicaRoutePolicy(), fleet, settings.zone, clock),
+            ExecuteInterceptor(targets.gateway),
+        )
 
     private fun initialConfiguration(): Configuration {
         val path = settings.initialConfiguration ?: return Configuration()
