Run the limits as tasks over HTTP; stop as planned; settings for both

Cause: the deciders of limits had no tasks, SIGTERM ended the process at once, and the sections had no settings. Change: ShareLedgerTask on a control VM answers only what a majority confirmed after the decision; ShareHolderTask renews leases and hands tokens out; AdmissionTask is the Admission of the path. ShutdownTask takes readiness down, runs the early steps, waits for callers to leave and for requests in flight, then runs the late steps. Settings come in sections of their own; checks between settings list secrets that are short or equal, and doubled seeds.

--- /dev/null
+++ b/daemon/src/main/kotlin/org/buckthornhub/limit/LimitRoutes.kt
@@ -0,0 +1,60 @@
+package org.buckthornhub.limit
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.mapBoth
+import io.ktor.http.HttpMethod
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.serialization.SerializationException
+import org.buckthornhub.caller.errorReply
+import org.buckthornhub.error.ErrorKind
+import org.buckthornhub.error.ProxyError
+import org.buckthornhub.http.HttpReply
+import org.buckthornhub.http.HttpRequest
+import org.buckthornhub.http.PeerJson
+import org.buckthornhub.http.Route
+import org.buckthornhub.peer.PeerAuthority
+import org.buckthornhub.task.Mailbox
+
+/** Serves other daemons: tokens from the shares that this daemon holds and, on a control VM, leases of shares. */
+internal class LimitRoutes(
+    private val holder: Mailbox<ShareHolderCall>,
+    private val ledger: Mailbox<ShareLedgerCall>?,
+    private val authority: PeerAuthority,
+) {
+    fun routes(): List<Route> = listOf(
+        Route(HttpMethod.Post, TOKENS_PATH, authority.guard { tokens(it) }),
+        Route(HttpMethod.Post, SHARES_PATH, authority.guard { shares(it) }),
+    )
+
+    private suspend fun tokens(request: HttpRequest): HttpReply = try {
+        val reply = CompletableDeferred<TokenReply>()
+        val asked = PeerJson.decodeFromString(TokenRequest.serializer(), request.body)
+        val answer = if (holder.offer(ShareHolderCall.Ask(asked, reply))) reply.await() else TokenReply()
+        HttpReply(OK, PeerJson.encodeToString(TokenReply.serializer(), answer))
+    } catch (e: SerializationException) {
+        malformed(e)
+    }
+
+    private suspend fun shares(request: HttpRequest): HttpReply = try {
+        val reply = CompletableDeferred<Result<ShareReply, ProxyError>>()
+        val asked = PeerJson.decodeFromString(ShareRequest.serializer(), request.body)
+        val isTaken = ledger?.offer(ShareLedgerCall(asked, reply)) ?: false
+        val answer = if (isTaken) reply.await() else Err(ProxyError(ErrorKind.NO_QUORUM, "this VM keeps no ledger of shares"))
+        answer.mapBoth(
+            success = { HttpReply(OK, PeerJson.encodeToString(ShareReply.serializer(), it)) },
+            failure = { errorReply(it) },
+        )
+    } catch (e: SerializationException) {
+        malformed(e)
+    }
+
+    private fun malformed(e: SerializationException) =
+        errorReply(ProxyError(ErrorKind.MALFORMED_REQUEST, e.message.orEmpty().lineSequence().first()))
+
+    internal companion object {
+        const val TOKENS_PATH = "/internal/limit/tokens"
+        const val SHARES_PATH = "/internal/limit/shares"
+        private const val OK = 200
+    }
+}
--- a/daemon/src/main/kotlin/org/buckthornhub/settings/SettingDefinitions.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/settings/SettingDefinitions.kt
@@ -6,7 +6,7 @@
 /** Every setting of the daemon, in the order of the reference in docs/OPERATING.md. */
 public object SettingDefinitions {
     private const val MAX_PORT = 65_535L
-    private const val MIN_SECRET_LENGTH = 16
+    internal const val MIN_SECRET_LENGTH = 16
 
     public val ALL: PersistentList<SettingDefinition> =
         persistentListOf(
@@ -46,5 +46,5 @@
                 isOptional = true,
             ),
             SettingDefinition("log.format", SettingKind.Choice(listOf("text", "json")), "text", "Form of the log lines on standard error."),
-        )
+        ).addAll(LimitSettings.DEFINITIONS).addAll(ShutdownSettings.DEFINITIONS).addAll(ObserveSettings.DEFINITIONS)
 }
--- a/daemon/src/main/kotlin/org/buckthornhub/settings/Settings.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/settings/Settings.kt
@@ -2,6 +2,9 @@
 
 import org.buckthornhub.fleet.VmId
 import org.buckthornhub.fleet.ZoneId
+import org.buckthornhub.limit.LimitTiming
+import org.buckthornhub.observe.ObserveOptions
+import org.buckthornhub.shutdown.ShutdownTiming
 
 /** The checked settings of one daemon; see docs/OPERATING.md for the TOML keys. */
 public data class Settings(
@@ -15,4 +18,7 @@
     val maxBodyBytes: Long,
     val logFormat: LogFormat,
     val fleetSeeds: List<String> = emptyList(),
+    val limits: LimitTiming = LimitTiming(),
+    val shutdown: ShutdownTiming = ShutdownTiming(),
+    val observe: ObserveOptions = ObserveOptions(),
 )
--- a/daemon/src/main/kotlin/org/buckthornhub/settings/SettingsLoader.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/settings/SettingsLoader.kt
@@ -50,7 +50,7 @@
         val known = SettingDefinitions.ALL.associateBy { it.key }
         val unknown = (found.keys - known.keys).map { SettingFault(it, "an unknown key", "one of the settings in docs/OPERATING.md") }
         val wrong = SettingDefinitions.ALL.mapNotNull { faultOf(it, found) }
-        val faults = (unknown + wrong).toPersistentList()
+        val faults = (unknown + wrong + CrossChecks.faultsOf(found)).toPersistentList()
         return if (faults.isEmpty()) Ok(settingsOf(ValueReader(found))) else Err(faults)
     }
 
@@ -73,6 +73,9 @@
         defaultDeadlineMillis = values.whole("request.default_deadline_ms"),
         maxBodyBytes = values.whole("listen.max_body_bytes"),
         logFormat = LogFormat.valueOf(values.text("log.format").uppercase()),
+        limits = LimitSettings.read(values),
+        shutdown = ShutdownSettings.read(values),
+        observe = ObserveSettings.read(values),
         fleetSeeds = values.texts("fleet.seeds"),
     )
 }
