Record, count and trace each request; explain; fuzz the decoders

Cause: nothing showed why a request went where it did, and a caller got no trace id. Change: a listener tells RecorderTask of each step; whole records become Prometheus metrics with bounded labels, spans in a file in OpenTelemetry's terms, and the answers of GET /v1/operator/explain and 'buckthornhub explain'. Each request continues the caller's W3C trace or begins one, and the answer names it. Weighed: an OTLP exporter; its library is not among the packages, so spans go to a file through the SpanExporter interface.

--- a/core/src/main/kotlin/org/buckthornhub/proxy/ProxyRequest.kt
+++ b/core/src/main/kotlin/org/buckthornhub/proxy/ProxyRequest.kt
@@ -9,7 +9,8 @@
  *
  * @property sessionToken token of an earlier answer; null starts a session
  * @property deadlineMillis monotonic time of this process by which the answer has to be there
- * @property traceParent W3C trace context of the caller, if any
+ * @property traceParent W3C trace context of this request, which goes on to targets
+ * @property callerSpan span of the caller that this request belongs to, if it sent one
  */
 public data class ProxyRequest(
     val key: ApiKey?,
@@ -18,4 +19,8 @@
     val requestId: RequestId,
     val deadlineMillis: Long,
     val traceParent: String? = null,
-)
+    val callerSpan: String? = null,
+) {
+    /** [traceParent] if it is valid. */
+    val trace: TraceContext? = TraceContext.parse(traceParent)
+}
--- a/daemon/src/main/kotlin/org/buckthornhub/caller/CallerRoutes.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/caller/CallerRoutes.kt
@@ -22,6 +22,7 @@
 import org.buckthornhub.proxy.Proxy
 import org.buckthornhub.proxy.ProxyRequest
 import org.buckthornhub.proxy.ProxyResponse
+import org.buckthornhub.proxy.TraceContext
 import org.buckthornhub.session.SessionCodec
 import org.buckthornhub.statement.Operation
 import org.buckthornhub.statement.RequestId
@@ -34,6 +35,7 @@
     private val sessionCodec: SessionCodec,
     private val clock: Clock,
     private val defaultDeadlineMillis: Long,
+    private val traces: TraceContexts = TraceContexts(samplePercent = 0),
 ) {
     fun routes(): List<Route> = listOf(
         Route(HttpMethod.Post, "/v1/statements") { run(it) },
@@ -70,6 +72,8 @@
         requestId: RequestId,
         operation: Operation,
     ): HttpReply {
+        val caller = TraceContext.parse(request.headers["traceparent"])
+        val trace = traces.next(caller)
         val proxyRequest =
             ProxyRequest(
                 key = keyOf(request),
@@ -77,12 +81,18 @@
                 operation = operation,
                 requestId = requestId,
                 deadlineMillis = clock.nowMillis() + (deadlineMillis ?: defaultDeadlineMillis),
-                traceParent = request.headers["traceparent"],
+                traceParent = trace.toHeader(),
+                callerSpan = caller?.spanId,
             )
-        return proxy.execute(proxyRequest).mapBoth(success = { answerReply(it) }, failure = { errorReply(it) })
+        val reply =
+            proxy.execute(proxyRequest).mapBoth(
+                success = { answerReply(it, trace.traceId) },
+                failure = { errorReply(it, trace.traceId) },
+            )
+        return reply.copy(headers = reply.headers + ("traceresponse" to trace.toHeader()))
     }
 
-    private fun answerReply(response: ProxyResponse): HttpReply {
+    private fun answerReply(response: ProxyResponse, traceId: String): HttpReply {
         val answer = response.answer
         val body =
             AnswerBody(
@@ -91,6 +101,7 @@
                 target = answer.target,
                 fromReplica = answer.fromReplica,
                 transaction = answer.transaction,
+                traceId = traceId,
             )
         return HttpReply(status = 200, body = WireJson.encodeToString(AnswerBody.serializer(), body))
     }
--- a/daemon/src/main/kotlin/org/buckthornhub/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/daemon/Main.kt
@@ -6,8 +6,10 @@
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.runBlocking
+import org.buckthornhub.observe.LogSetup
 import org.buckthornhub.settings.Settings
 import org.buckthornhub.settings.SettingsLoader
+import org.buckthornhub.shutdown.StopSignal
 import org.kohsuke.args4j.CmdLineException
 import org.kohsuke.args4j.CmdLineParser
 import java.io.File
@@ -21,9 +23,10 @@
     val options = parse(arguments)
     val settings = load(options.config)
     if (options.check) return println("${options.config}: settings are valid")
+    LogSetup.apply(settings.logFormat)
     runBlocking {
         coroutineScope {
-            DaemonAssembly(settings).start(this)
+            StopSignal(settings.shutdown).install(DaemonAssembly(settings).start(this))
             awaitCancellation()
         }
     }
--- /dev/null
+++ b/daemon/src/main/kotlin/org/buckthornhub/observe/BoundedLabels.kt
@@ -0,0 +1,18 @@
+package org.buckthornhub.observe
+
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentSetOf
+
+/** The first [max] names keep a label of their own; any other is "other". */
+internal data class BoundedLabels(
+    private val max: Int,
+    private val known: PersistentSet<String> = persistentSetOf(),
+) {
+    fun with(name: String): BoundedLabels = if (name in known || known.size >= max) this else copy(known = known.add(name))
+
+    fun labelOf(name: String): String = if (name in known) name else OTHER
+
+    internal companion object {
+        const val OTHER = "other"
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/buckthornhub/observe/ExplainRoutes.kt
@@ -0,0 +1,36 @@
+package org.buckthornhub.observe
+
+import io.ktor.http.HttpMethod
+import org.buckthornhub.explain.ExplainAnswer
+import org.buckthornhub.explain.ExplainQuestion
+import org.buckthornhub.explain.ExplainState
+import org.buckthornhub.fleet.StateSource
+import org.buckthornhub.group.GroupId
+import org.buckthornhub.http.HttpReply
+import org.buckthornhub.http.HttpRequest
+import org.buckthornhub.http.Route
+import org.buckthornhub.http.WireJson
+import org.buckthornhub.organisation.OrganisationId
+
+/** `GET /v1/operator/explain?trace=…`, `group=…` or `organisation=…`, from what this daemon recorded. */
+internal class ExplainRoutes(
+    private val recorded: StateSource<ExplainState>,
+    private val authority: OperatorAuthority,
+) {
+    fun routes(): List<Route> = listOf(Route(HttpMethod.Get, "/v1/operator/explain", authority.guard { explain(it) }))
+
+    private fun explain(request: HttpRequest): HttpReply {
+        val question =
+            ExplainQuestion(
+                traceId = request.query["trace"],
+                group = request.query["group"]?.let { GroupId(it) },
+                organisation = request.query["organisation"]?.let { OrganisationId(it) },
+            )
+        val answer = question.answer(recorded.current())
+        return HttpReply(OK, WireJson.encodeToString(ExplainAnswer.serializer(), answer))
+    }
+
+    private companion object {
+        const val OK = 200
+    }
+}
--- /dev/null
+++ b/daemon/src/test/kotlin/org/buckthornhub/settings/SettingsCase.kt
@@ -0,0 +1,27 @@
+package org.buckthornhub.settings
+
+/**
+ * A settings file and the faults that it has to give, as `key: found`.
+ *
+ * @property without keys of the complete file that are left out
+ */
+internal data class SettingsCase(
+    val name: String,
+    val lines: String,
+    val faults: List<String>,
+    val without: Set<String> = emptySet(),
+) {
+    override fun toString(): String = name
+
+    fun toml(): String = complete.filterKeys { it !in without }.values.joinToString("\n") + "\n" + lines
+
+    private companion object {
+        val complete =
+            mapOf(
+                "vm" to "vm = \"vm1\"",
+                "zone" to "zone = \"ikeja\"",
+                "fleet.secret" to "fleet.secret = \"0123456789abcdef\"",
+                "listen.port" to "listen.port = 24001",
+            )
+    }
+}
