--- a/daemon/src/main/kotlin/org/buckthornhub/control/ControlSettingDefinitions.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/control/ControlSettingDefinitions.kt
@@ -38,7 +38,7 @@
                 "operator.secret",
                 SettingKind.Text,
                 null,
-                "Secret of the operators; without it the routes under /v1/operator refuse everything.",
+                "Secret of the operators, at least 16 characters; without it the routes under /v1/operator refuse everything.",
                 isOptional = true,
             ),
             SettingDefinition(
--- a/daemon/src/main/kotlin/org/buckthornhub/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/daemon/Main.kt
@@ -7,8 +7,10 @@
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.runBlocking
 import org.buckthornhub.http.HttpLinks
+import org.buckthornhub.observe.LogSetup
 import org.buckthornhub.settings.Settings
 import org.buckthornhub.settings.SettingsLoader
+import org.buckthornhub.shutdown.StopSignal
 import org.kohsuke.args4j.CmdLineException
 import org.kohsuke.args4j.CmdLineParser
 import java.io.File
@@ -22,9 +24,10 @@
     val options = parse(arguments)
     val settings = load(options.config)
     if (options.check) return println("${options.config}: settings are valid")
+    LogSetup.apply(settings.logFormat)
     runBlocking {
         coroutineScope {
-            DaemonAssembly(settings, HttpLinks).start(this)
+            StopSignal(settings.shutdown).install(DaemonAssembly(settings, HttpLinks).start(this))
             awaitCancellation()
         }
     }
--- a/daemon/src/main/kotlin/org/buckthornhub/settings/SettingDefinitions.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/settings/SettingDefinitions.kt
@@ -7,7 +7,7 @@
 /** Every setting of the daemon, in the order of the reference in docs/OPERATING.md. */
 public object SettingDefinitions {
     private const val MAX_PORT = 65_535L
-    private const val MIN_SECRET_LENGTH = 16
+    internal const val MIN_SECRET_LENGTH = 16
 
     public val ALL: PersistentList<SettingDefinition> =
         persistentListOf(
@@ -48,4 +48,7 @@
             ),
             SettingDefinition("log.format", SettingKind.Choice(listOf("text", "json")), "text", "Form of the log lines on standard error."),
         ).addAll(ControlSettingDefinitions.ALL)
+            .addAll(LimitSettings.DEFINITIONS)
+            .addAll(ShutdownSettings.DEFINITIONS)
+            .addAll(ObserveSettings.DEFINITIONS)
 }
