--- a/daemon/src/main/kotlin/org/buckthornhub/caller/CallerRoutes.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/caller/CallerRoutes.kt
@@ -87,11 +87,14 @@
         val reply =
             proxy.execute(proxyRequest).mapBoth(
                 success = { answerReply(it, trace.traceId) },
-                failure = { errorReply(it, trace.traceId) },
+                failure = { failureReply(it, trace.traceId) },
             )
         return reply.copy(headers = reply.headers + ("traceresponse" to trace.toHeader()))
     }
 
+    private fun failureReply(error: ProxyError, traceId: String): HttpReply =
+        errorReply(error, traceId, session = error.session?.let { sessionCodec.encode(it) })
+
     private fun answerReply(response: ProxyResponse, traceId: String): HttpReply {
         val answer = response.answer
         val body =
--- a/daemon/src/main/kotlin/org/buckthornhub/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/daemon/Main.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.runBlocking
+import org.buckthornhub.http.HttpLinks
 import org.buckthornhub.observe.LogSetup
 import org.buckthornhub.settings.Settings
 import org.buckthornhub.settings.SettingsLoader
@@ -26,7 +27,7 @@
     LogSetup.apply(settings.logFormat)
     runBlocking {
         coroutineScope {
-            StopSignal(settings.shutdown).install(DaemonAssembly(settings).start(this))
+            StopSignal(settings.shutdown).install(DaemonAssembly(settings, HttpLinks).start(this))
             awaitCancellation()
         }
     }
--- a/daemon/src/main/kotlin/org/buckthornhub/limit/LimitAssembly.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/limit/LimitAssembly.kt
@@ -3,47 +3,60 @@
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import org.buckthornhub.clock.Clock
+import org.buckthornhub.control.ControlAssembly
 import org.buckthornhub.control.ControlClient
 import org.buckthornhub.control.ControlLog
+import org.buckthornhub.control.LeaderGuard
 import org.buckthornhub.fleet.FleetView
 import org.buckthornhub.fleet.StateSource
 import org.buckthornhub.http.HttpLink
 import org.buckthornhub.http.Route
-import org.buckthornhub.organisation.Configuration
+import org.buckthornhub.http.RouteHandler
 import org.buckthornhub.peer.PeerAuthority
 import org.buckthornhub.settings.Settings
 import org.buckthornhub.shutdown.HandoverStep
 import kotlin.random.Random
 
-/**
- * Builds the tasks that hold every organisation to its rate and burst over the whole fleet.
- *
- * @param log the replicated log on a control VM, null on any other
- */
+/** Builds the tasks that hold every organisation to its rate and burst over the whole fleet. */
 internal class LimitAssembly(
-    settings: Settings,
-    configuration: StateSource<Configuration>,
-    view: StateSource<FleetView>,
-    control: ControlClient,
+    environment: LimitEnvironment,
+    client: ControlClient,
     log: ControlLog?,
     links: HttpLink.Factory,
-    private val clock: Clock,
+    authority: PeerAuthority,
+    clock: Clock,
+    isStandalone: Boolean = false,
 ) {
-    private val authority = PeerAuthority(settings.fleetSecret)
-    private val environment =
-        LimitEnvironment(settings.vm, settings.zone, Random.nextLong(), settings.limits, configuration, view)
-    private val holder = ShareHolderTask(environment, control, clock)
-    private val ledger = log?.let { ShareLedgerTask(it, view, settings.limits, clock) }
-    private val holders = PeerTokenHolders(settings.vm, holder, view, links, authority)
+    private val holder = ShareHolderTask(environment, client, clock)
+    private val ledger = log?.let { ShareLedgerTask(it, environment.view, environment.timing, clock) }
+    private val holders = PeerTokenHolders(environment.vm, holder, environment.view, links, authority)
     private val admissionTask = AdmissionTask(environment, holders, clock)
+    private val leaderOnly: (
+        RouteHandler,
+    ) -> RouteHandler = { handler -> log?.let { LeaderGuard(it.leadership).guard(handler) } ?: handler }
 
-    val admission: Admission get() = admissionTask
-    val routes: List<Route> = LimitRoutes(holder, ledger, authority).routes()
+    private val standalone = if (isStandalone) StandaloneAdmission(environment.timing, clock) else null
+
+    val admission: Admission get() = standalone ?: admissionTask
+    val routes: List<Route> = LimitRoutes(holder, ledger, authority, leaderOnly).routes()
 
     /** Gives back what this daemon holds; in the order of a shutdown it comes after the last request. */
     val handover: HandoverStep = HandoverStep { handOver() }
 
+    /** The limits of a daemon; one that knows no control quorum stands alone and keeps a single bucket. */
+    constructor(settings: Settings, control: ControlAssembly, view: StateSource<FleetView>, links: HttpLink.Factory, clock: Clock) : this(
+        environment =
+        LimitEnvironment(settings.vm, settings.zone, Random.nextLong(), settings.limits, control.configuration, view),
+        client = control.client,
+        log = control.log,
+        links = links,
+        authority = PeerAuthority(settings.fleetSecret),
+        clock = clock,
+        isStandalone = settings.control.members.isEmpty(),
+    )
+
     fun start(scope: CoroutineScope) {
+        standalone?.start(scope)
         ledger?.start(scope)
         holder.start(scope)
         holders.start(scope)
--- a/daemon/src/main/kotlin/org/buckthornhub/limit/LimitRoutes.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/limit/LimitRoutes.kt
@@ -13,6 +13,7 @@
 import org.buckthornhub.http.HttpRequest
 import org.buckthornhub.http.PeerJson
 import org.buckthornhub.http.Route
+import org.buckthornhub.http.RouteHandler
 import org.buckthornhub.peer.PeerAuthority
 import org.buckthornhub.task.Mailbox
 
@@ -21,10 +22,11 @@
     private val holder: Mailbox<ShareHolderCall>,
     private val ledger: Mailbox<ShareLedgerCall>?,
     private val authority: PeerAuthority,
+    private val leaderOnly: (RouteHandler) -> RouteHandler,
 ) {
     fun routes(): List<Route> = listOf(
         Route(HttpMethod.Post, TOKENS_PATH, authority.guard { tokens(it) }),
-        Route(HttpMethod.Post, SHARES_PATH, authority.guard { shares(it) }),
+        Route(HttpMethod.Post, SHARES_PATH, authority.guard(leaderOnly(RouteHandler { shares(it) }))),
     )
 
     private suspend fun tokens(request: HttpRequest): HttpReply = try {
--- a/daemon/src/main/kotlin/org/buckthornhub/observe/ObserveAssembly.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/observe/ObserveAssembly.kt
@@ -7,6 +7,7 @@
 import org.buckthornhub.explain.ExplainEvent
 import org.buckthornhub.explain.ExplainMessage
 import org.buckthornhub.http.Route
+import org.buckthornhub.organisation.OperatorAuthority
 import org.buckthornhub.proxy.ProxyEventListener
 import org.buckthornhub.settings.Settings
 import org.buckthornhub.task.Mailbox
@@ -35,7 +36,13 @@
 
     val routes: List<Route> =
         MetricsRoutes(registry).routes() +
-            if (options.explainRecords > 0) ExplainRoutes(recorder, OperatorAuthority(options.operatorSecret)).routes() else emptyList()
+            if (options.explainRecords >
+                0
+            ) {
+                ExplainRoutes(recorder, OperatorAuthority(settings.control.operatorSecret)).routes()
+            } else {
+                emptyList()
+            }
 
     fun start(scope: CoroutineScope) {
         recorder.start(scope)
--- a/daemon/src/main/kotlin/org/buckthornhub/settings/ObserveSettings.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/settings/ObserveSettings.kt
@@ -4,19 +4,12 @@
 import kotlinx.collections.immutable.persistentListOf
 import org.buckthornhub.observe.ObserveOptions
 
-/** Sections `operator`, `metrics`, `trace` and `explain`: what the daemon shows. */
+/** Sections `metrics`, `trace` and `explain`: what the daemon shows. */
 internal object ObserveSettings {
     private val defaults = ObserveOptions()
 
     val DEFINITIONS: PersistentList<SettingDefinition> =
         persistentListOf(
-            SettingDefinition(
-                "operator.secret",
-                SettingKind.Text,
-                null,
-                "Secret of the operators, at least 16 characters; without it the operators' interface refuses everyone.",
-                isOptional = true,
-            ),
             SettingDefinition(
                 "metrics.max_organisations",
                 SettingKind.Whole(1L..10_000L),
@@ -45,7 +38,6 @@
         )
 
     fun read(values: ValueReader): ObserveOptions = ObserveOptions(
-        operatorSecret = values.textOrNull("operator.secret"),
         maxOrganisations = values.whole("metrics.max_organisations").toInt(),
         traceFile = values.textOrNull("trace.file"),
         samplePercent = values.whole("trace.sample_percent").toInt(),
--- a/daemon/src/main/kotlin/org/buckthornhub/settings/Settings.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/settings/Settings.kt
@@ -1,5 +1,6 @@
 package org.buckthornhub.settings
 
+import org.buckthornhub.control.ControlSettings
 import org.buckthornhub.fleet.VmId
 import org.buckthornhub.fleet.ZoneId
 import org.buckthornhub.limit.LimitTiming
@@ -18,6 +19,7 @@
     val maxBodyBytes: Long,
     val logFormat: LogFormat,
     val fleetSeeds: List<String> = emptyList(),
+    val control: ControlSettings = ControlSettings(),
     val limits: LimitTiming = LimitTiming(),
     val shutdown: ShutdownTiming = ShutdownTiming(),
     val observe: ObserveOptions = ObserveOptions(),
--- a/daemon/src/main/kotlin/org/buckthornhub/settings/SettingsLoader.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/settings/SettingsLoader.kt
@@ -14,6 +14,7 @@
 import net.peanuuutz.tomlkt.TomlLiteral
 import net.peanuuutz.tomlkt.TomlNull
 import net.peanuuutz.tomlkt.TomlTable
+import org.buckthornhub.control.ControlSettings
 import org.buckthornhub.fleet.VmId
 import org.buckthornhub.fleet.ZoneId
 
@@ -50,10 +51,19 @@
         val known = SettingDefinitions.ALL.associateBy { it.key }
         val unknown = (found.keys - known.keys).map { SettingFault(it, "an unknown key", "one of the settings in docs/OPERATING.md") }
         val wrong = SettingDefinitions.ALL.mapNotNull { faultOf(it, found) }
-        val faults = (unknown + wrong + CrossChecks.faultsOf(found)).toPersistentList()
+        val single = unknown + wrong
+        val between = if (single.isEmpty()) memberFaults(ValueReader(found)) else emptyList()
+        val faults = (single + between + CrossChecks.faultsOf(found)).toPersistentList()
         return if (faults.isEmpty()) Ok(settingsOf(ValueReader(found))) else Err(faults)
     }
 
+    private fun memberFaults(values: ValueReader): List<SettingFault> {
+        val isMember = values.texts("control.members").any { ControlSettings.memberOf(it)?.first?.value == values.text("vm") }
+        val isFolderMissing = isMember && values.textOrNull("control.data_folder") == null
+        val folder = SettingFault("control.data_folder", "nothing", "a folder, as this VM is named in control.members")
+        return ControlSettings.faultsOf(values.texts("control.members")) + listOfNotNull(folder.takeIf { isFolderMissing })
+    }
+
     private fun faultOf(definition: SettingDefinition, found: Map<String, Any?>): SettingFault? {
         if (definition.key !in found) {
             val isMissing = definition.default == null && !definition.isOptional
@@ -63,6 +73,15 @@
         return if (definition.kind.accept(value) == null) SettingFault(definition.key, "$value", definition.kind.allowed) else null
     }
 
+    private fun controlOf(values: ValueReader): ControlSettings = ControlSettings(
+        members = values.texts("control.members").mapNotNull { ControlSettings.memberOf(it) }.toMap(),
+        dataFolder = values.textOrNull("control.data_folder"),
+        heartbeatMillis = values.whole("control.heartbeat_ms"),
+        electionMillis = values.whole("control.election_ms"),
+        operatorSecret = values.textOrNull("operator.secret"),
+        refuseKeysAfterMillis = values.whole("keys.cut_off_after_ms").takeIf { values.text("keys.cut_off_policy") == "refuse" },
+    )
+
     private fun settingsOf(values: ValueReader): Settings = Settings(
         vm = VmId(values.text("vm")),
         zone = ZoneId(values.text("zone")),
@@ -77,5 +96,6 @@
         shutdown = ShutdownSettings.read(values),
         observe = ObserveSettings.read(values),
         fleetSeeds = values.texts("fleet.seeds"),
+        control = controlOf(values),
     )
 }
