--- a/daemon/src/main/kotlin/org/buckthornhub/daemon/DaemonAssembly.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/daemon/DaemonAssembly.kt
@@ -58,7 +58,7 @@
             clock = clock,
             leaderOnly = { handler -> control.log?.let { LeaderGuard(it.leadership).guard(handler) } ?: handler },
         )
-    private val limits = LimitAssembly(settings, control.configuration, fleet.view, control.client, control.log, links, clock)
+    private val limits = LimitAssembly(settings, control, fleet.view, links, clock)
     private val targets: TargetAssembly = TargetAssembly(settings, clock, fleet.view, control.view, leases.leases, links)
     private val shutdown =
         ShutdownTask(
--- a/daemon/src/main/kotlin/org/buckthornhub/observe/ExplainRoutes.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/observe/ExplainRoutes.kt
@@ -9,8 +9,8 @@
 import org.buckthornhub.http.HttpReply
 import org.buckthornhub.http.HttpRequest
 import org.buckthornhub.http.Route
-import org.buckthornhub.organisation.OperatorAuthority
 import org.buckthornhub.http.WireJson
+import org.buckthornhub.organisation.OperatorAuthority
 import org.buckthornhub.organisation.OrganisationId
 
 /** `GET /v1/operator/explain?trace=…`, `group=…` or `organisation=…`, from what this daemon recorded. */
--- a/daemon/src/main/kotlin/org/buckthornhub/observe/ObserveAssembly.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/observe/ObserveAssembly.kt
@@ -36,7 +36,13 @@
 
     val routes: List<Route> =
         MetricsRoutes(registry).routes() +
-            if (options.explainRecords > 0) ExplainRoutes(recorder, OperatorAuthority(options.operatorSecret)).routes() else emptyList()
+            if (options.explainRecords >
+                0
+            ) {
+                ExplainRoutes(recorder, OperatorAuthority(settings.control.operatorSecret)).routes()
+            } else {
+                emptyList()
+            }
 
     fun start(scope: CoroutineScope) {
         recorder.start(scope)
--- a/daemon/src/main/kotlin/org/buckthornhub/settings/ObserveSettings.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/settings/ObserveSettings.kt
@@ -38,7 +38,6 @@
         )
 
     fun read(values: ValueReader): ObserveOptions = ObserveOptions(
-        operatorSecret = values.textOrNull("operator.secret"),
         maxOrganisations = values.whole("metrics.max_organisations").toInt(),
         traceFile = values.textOrNull("trace.file"),
         samplePercent = values.whole("trace.sample_percent").toInt(),
--- a/daemon/src/test/kotlin/org/buckthornhub/limit/LimitFleet.kt
+++ b/daemon/src/test/kotlin/org/buckthornhub/limit/LimitFleet.kt
@@ -20,8 +20,6 @@
 import org.buckthornhub.organisation.PlanId
 import org.buckthornhub.organisation.PlanList
 import org.buckthornhub.peer.PeerAuthority
-import org.buckthornhub.settings.LogFormat
-import org.buckthornhub.settings.Settings
 
 /** Four daemons in two zones with their limit tasks; the first is the control leader. */
 internal class LimitFleet(private val clock: Clock) {
@@ -39,7 +37,9 @@
         ControlClient { path, body, timeout -> links.open(entries.first().address).post(path, body, timeout, authority.headers()) }
     val assemblies: List<LimitAssembly> =
         entries.mapIndexed { index, entry ->
-            LimitAssembly(settings(entry), StateSource { configuration }, { view }, control, log.takeIf { index == 0 }, links, clock)
+            val environment =
+                LimitEnvironment(entry.vm, entry.zone, index.toLong(), LimitTiming(), StateSource { configuration }, { view })
+            LimitAssembly(environment, control, log.takeIf { index == 0 }, links, authority, clock)
         }
 
     fun start(scope: CoroutineScope) {
@@ -62,18 +62,6 @@
         configuration = configuration.copy(revision = 2, grants = GrantList(2, mapOf(plan to changed)))
     }
 
-    private fun settings(entry: DaemonEntry) = Settings(
-        vm = entry.vm,
-        zone = entry.zone,
-        host = "127.0.0.1",
-        port = 1,
-        fleetSecret = SECRET,
-        initialConfiguration = null,
-        defaultDeadlineMillis = 1_000,
-        maxBodyBytes = 1_000,
-        logFormat = LogFormat.TEXT,
-    )
-
     private companion object {
         const val SECRET = "secret-of-the-tests"
     }
--- a/daemon/src/test/kotlin/org/buckthornhub/observe/ObserveAssemblyTest.kt
+++ b/daemon/src/test/kotlin/org/buckthornhub/observe/ObserveAssemblyTest.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.test.runCurrent
 import kotlinx.coroutines.test.runTest
 import org.buckthornhub.clock.SystemClock
+import org.buckthornhub.control.ControlSettings
 import org.buckthornhub.error.ErrorKind
 import org.buckthornhub.error.ProxyError
 import org.buckthornhub.explain.ExplainAnswer
@@ -43,7 +44,7 @@
 
     @Test
     fun `explain says where a request went and why another was refused`() = runTest {
-        val observe = observed(ObserveOptions(operatorSecret = SECRET))
+        val observe = observed(ObserveOptions())
         request(observe, "authority", "1", served)
         request(observe, "adeyemi", "2", refused)
         observe.events.offer(ExplainEvent.Noted(GroupId("ledger"), 1, "lease renewed late"))
@@ -58,11 +59,11 @@
 
     @Test
     fun `explain refuses whoever is no operator`() = runTest {
-        val observe = observed(ObserveOptions(operatorSecret = SECRET))
-        listOf(null, "Bearer wrong", SECRET).forEach { header ->
+        val observe = observed(ObserveOptions())
+        listOf(null, "Bearer wrong", "").forEach { header ->
             assertEquals(403, get(observe, "/v1/operator/explain", emptyMap(), header).status)
         }
-        assertEquals(403, get(observed(ObserveOptions()), "/v1/operator/explain", emptyMap(), "Bearer $SECRET").status)
+        assertEquals(403, get(observed(ObserveOptions(), secret = null), "/v1/operator/explain", emptyMap(), "Bearer $SECRET").status)
     }
 
     @Test
@@ -94,8 +95,8 @@
         assertEquals(3, lines.count { "\"parentSpanId\":\"${"1".repeat(16)}\"" in it })
     }
 
-    private fun TestScope.observed(options: ObserveOptions) =
-        ObserveAssembly(settings(options), SystemClock).also { it.start(backgroundScope) }
+    private fun TestScope.observed(options: ObserveOptions, secret: String? = SECRET) =
+        ObserveAssembly(settings(options, secret), SystemClock).also { it.start(backgroundScope) }
 
     private fun request(observe: ObserveAssembly, organisation: String, digit: String, result: Result<ProxyResponse, ProxyError>) {
         val statement = Statement(GroupId("ledger"), Access.READ, "get x", repeatable = true)
@@ -118,7 +119,7 @@
         return observe.routes.single { it.path == path }.handler.handle(HttpRequest("GET", path, emptyMap(), query, headers, ""))
     }
 
-    private fun settings(options: ObserveOptions) = Settings(
+    private fun settings(options: ObserveOptions, secret: String?) = Settings(
         vm = VmId("vm1"),
         zone = ZoneId("a"),
         host = "127.0.0.1",
@@ -129,6 +130,7 @@
         maxBodyBytes = 1,
         logFormat = LogFormat.TEXT,
         observe = options,
+        control = ControlSettings(operatorSecret = secret),
     )
 
     private companion object {
