Load transactions, and check that no commit holds statements of another

Cause: the load tool sent single statements only, so that neither a lost commit nor a mix of transactions on one connection could be seen.

Weighed: one attempt for a whole transaction. Ruled out: each request counts for an organisation's rate, so each is an attempt of its own.

--- a/cli/src/main/kotlin/org/buckthornhub/cli/load/LoadCommand.kt
+++ b/cli/src/main/kotlin/org/buckthornhub/cli/load/LoadCommand.kt
@@ -36,6 +36,9 @@
     @Option(name = "--read-share", metaVar = "SHARE", usage = "part of the statements that read, from 0 to 1 (0.7)")
     var readShare: Double = DEFAULT_READ_SHARE
 
+    @Option(name = "--transaction-share", metaVar = "SHARE", usage = "part of the writes that are transactions, from 0 to 1 (0)")
+    var transactionShare: Double = 0.0
+
     @Option(name = "--accepted-ages", metaVar = "MS,...", usage = "ages that reads of other sessions' data accept (none)")
     var acceptedAges: String = ""
 
--- a/cli/src/main/kotlin/org/buckthornhub/cli/load/LoadPlanReader.kt
+++ b/cli/src/main/kotlin/org/buckthornhub/cli/load/LoadPlanReader.kt
@@ -35,6 +35,7 @@
                 groups = list(options.groups),
                 offeredPerSecond = (offered[organisation] ?: DEFAULT_OFFERED_PER_SECOND) / options.sessions,
                 readShare = options.readShare,
+                transactionShare = options.transactionShare,
                 acceptedAgesMillis = list(options.acceptedAges).map { number("--accepted-ages", it).toLong() },
             )
         }
--- a/load/src/main/kotlin/org/buckthornhub/load/check/Findings.kt
+++ b/load/src/main/kotlin/org/buckthornhub/load/check/Findings.kt
@@ -6,11 +6,12 @@
     val lostWrites: List<Violation>,
     val doubledWrites: List<Violation>,
     val misdirectedAnswers: List<Violation>,
+    val mixedTransactions: List<Violation>,
     val wrongfulRefusals: List<Violation>,
 ) {
-    /** True if no answer was wrong and no write was lost or doubled. */
+    /** True if no answer was wrong, no write was lost or doubled and no transaction was mixed. */
     public val isCorrect: Boolean
-        get() = readYourWrites.isEmpty() && lostWrites.isEmpty() && doubledWrites.isEmpty() && misdirectedAnswers.isEmpty()
+        get() = (readYourWrites + lostWrites + doubledWrites + misdirectedAnswers + mixedTransactions).isEmpty()
 
     /** Every sort with its violations, for people. */
     public fun bySort(): Map<String, List<Violation>> = mapOf(
@@ -18,6 +19,7 @@
         "lost writes" to lostWrites,
         "doubled writes" to doubledWrites,
         "misdirected answers" to misdirectedAnswers,
+        "mixed transactions" to mixedTransactions,
         "wrongful refusals" to wrongfulRefusals,
     )
 
@@ -28,6 +30,7 @@
             lostWrites = LostWritesCheck().violations(evidence),
             doubledWrites = DoubledWritesCheck().violations(evidence),
             misdirectedAnswers = MisdirectedAnswersCheck().violations(evidence),
+            mixedTransactions = MixedTransactionsCheck().violations(evidence),
             wrongfulRefusals = WrongfulRefusalsCheck().violations(evidence),
         )
     }
--- a/load/src/main/kotlin/org/buckthornhub/load/check/MisdirectedAnswersCheck.kt
+++ b/load/src/main/kotlin/org/buckthornhub/load/check/MisdirectedAnswersCheck.kt
@@ -16,6 +16,6 @@
         val value = (attempt.outcome as? Outcome.Served)?.value ?: return false
         val items = value.split(',')
         val isForeign = items.any { it.substringBeforeLast('.') != attempt.key.substringBeforeLast('/') }
-        return isForeign || attempt.type == StatementType.APPEND && attempt.value !in items
+        return isForeign || attempt.type.isWrite && attempt.value !in items
     }
 }
--- a/load/src/main/kotlin/org/buckthornhub/load/check/ReadYourWritesCheck.kt
+++ b/load/src/main/kotlin/org/buckthornhub/load/check/ReadYourWritesCheck.kt
@@ -14,7 +14,7 @@
         .flatMap { violationsOfKey(it) }
 
     private fun violationsOfKey(attempts: List<Attempt>): List<Violation> {
-        val writes = attempts.filter { it.type == StatementType.APPEND && it.outcome is Outcome.Served }
+        val writes = attempts.filter { it.type.isWrite && it.outcome is Outcome.Served }
         return attempts
             .filter { it.type == StatementType.READ }
             .flatMap { read -> missing(read, writes) }
--- a/load/src/main/kotlin/org/buckthornhub/load/history/StatementType.kt
+++ b/load/src/main/kotlin/org/buckthornhub/load/history/StatementType.kt
@@ -5,7 +5,12 @@
     READ,
     APPEND,
     INSERT,
+    BEGIN,
+    IN_TRANSACTION,
+    COMMIT,
+    ROLL_BACK,
     ;
 
-    public val isWrite: Boolean get() = this != READ
+    /** True if its answer acknowledges a write. */
+    public val isWrite: Boolean get() = this == APPEND || this == INSERT || this == COMMIT
 }
--- a/load/src/main/kotlin/org/buckthornhub/load/session/ClientSession.kt
+++ b/load/src/main/kotlin/org/buckthornhub/load/session/ClientSession.kt
@@ -2,8 +2,10 @@
 
 import kotlinx.coroutines.delay
 import org.buckthornhub.clock.Clock
+import org.buckthornhub.load.check.MixedTransactionsCheck
 import org.buckthornhub.load.history.Attempt
 import org.buckthornhub.load.history.Outcome
+import org.buckthornhub.load.history.StatementType
 import kotlin.math.ln
 import kotlin.random.Random
 
@@ -25,20 +27,41 @@
             delay(dueMillis - clock.nowMillis())
             val number = state.nextNumber
             state = state.copy(nextNumber = number + 1)
-            sendWithResends(statements.next(number), endMillis)
+            val statement = statements.next(number)
+            if (statement.type == StatementType.BEGIN) runTransaction(statement, endMillis) else sendWithResends(statement, endMillis)
             // A session that fell behind does not make up for it: it has one request at a time.
             dueMillis = maxOf(dueMillis + pauseMillis(), clock.nowMillis())
         }
     }
 
-    private suspend fun sendWithResends(statement: LoadStatement, endMillis: Long) {
+    // A transaction stays with the daemon that began it; its commit has the request id of the whole.
+    private suspend fun runTransaction(begin: LoadStatement, endMillis: Long) {
+        val begun = sendWithResends(begin.copy(requestId = stepId(begin, "begin"), value = null), endMillis)
+        val transaction = begun.transaction ?: return
+        val inside = begin.copy(transaction = transaction, daemon = begun.daemon)
+        val steps =
+            listOfNotNull(begin.value, begin.value?.plus(SECOND_SUFFIX)).mapIndexed { index, value ->
+                inside.copy(requestId = stepId(begin, "$index"), type = StatementType.IN_TRANSACTION, value = value)
+            }
+        for (step in steps) {
+            if (sendWithResends(step, endMillis).outcome !is Outcome.Served) {
+                sendWithResends(inside.copy(requestId = stepId(begin, "end"), type = StatementType.ROLL_BACK, value = null), endMillis)
+                return
+            }
+        }
+        sendWithResends(inside.copy(type = StatementType.COMMIT), endMillis)
+    }
+
+    private fun stepId(begin: LoadStatement, step: String) = "${begin.requestId}${MixedTransactionsCheck.STEP_SEPARATOR}$step"
+
+    private suspend fun sendWithResends(statement: LoadStatement, endMillis: Long): LinkAnswer {
         val limitMillis = minOf(clock.nowMillis() + plan.resendLimitMillis, endMillis)
         while (true) {
             val answer = link.send(statement, state.token)
             record(attemptOf(statement, answer))
             take(answer)
-            val pause = resendPauseMillis(answer.outcome) ?: return
-            if (clock.nowMillis() + pause >= limitMillis) return
+            val pause = resendPauseMillis(answer.outcome) ?: return answer
+            if (clock.nowMillis() + pause >= limitMillis) return answer
             delay(pause)
         }
     }
@@ -74,6 +97,7 @@
 
     private companion object {
         const val MILLIS_PER_SECOND = 1_000.0
+        const val SECOND_SUFFIX = "-2"
         const val RESEND_MILLIS = 50L
     }
 }
--- a/load/src/main/kotlin/org/buckthornhub/load/session/LinkAnswer.kt
+++ b/load/src/main/kotlin/org/buckthornhub/load/session/LinkAnswer.kt
@@ -6,6 +6,7 @@
  * The end of one request.
  *
  * @property daemon address that it was sent to
+ * @property transaction the transaction that was begun
  * @property token session token to carry on with; null if the answer brought none
  */
 public data class LinkAnswer(
@@ -14,4 +15,5 @@
     val endedMillis: Long,
     val outcome: Outcome,
     val token: String? = null,
+    val transaction: String? = null,
 )
--- a/load/src/main/kotlin/org/buckthornhub/load/session/ProxyLink.kt
+++ b/load/src/main/kotlin/org/buckthornhub/load/session/ProxyLink.kt
@@ -6,6 +6,7 @@
 import org.buckthornhub.caller.wire.AnswerBody
 import org.buckthornhub.caller.wire.ErrorBody
 import org.buckthornhub.caller.wire.StatementBody
+import org.buckthornhub.caller.wire.TransactionBody
 import org.buckthornhub.clock.Clock
 import org.buckthornhub.error.Execution
 import org.buckthornhub.group.GroupId
@@ -14,6 +15,7 @@
 import org.buckthornhub.http.PeerJson
 import org.buckthornhub.http.WireJson
 import org.buckthornhub.load.history.Outcome
+import org.buckthornhub.load.history.StatementType
 import org.buckthornhub.statement.Access
 import org.buckthornhub.statement.RequestId
 import kotlin.random.Random
@@ -34,10 +36,10 @@
     private val headers = key?.let { mapOf("Authorization" to "Bearer $it") }.orEmpty()
 
     override suspend fun send(statement: LoadStatement, token: String?): LinkAnswer {
-        val (daemon, link) = daemons[random.nextInt(daemons.size)]
+        val (daemon, link) = daemons.firstOrNull { it.first == statement.daemon } ?: daemons[random.nextInt(daemons.size)]
         val sentMillis = clock.nowMillis()
         delay(delayMillis)
-        val result = link.post("/v1/statements", bodyOf(statement, token), deadlineMillis + TIMEOUT_MARGIN_MILLIS, headers)
+        val result = link.post(pathOf(statement), bodyOf(statement, token), deadlineMillis + TIMEOUT_MARGIN_MILLIS, headers)
         delay(delayMillis)
         val answered = LinkAnswer(daemon, sentMillis, clock.nowMillis(), Outcome.Unanswered(sent = true))
         return result.mapBoth(
@@ -49,7 +51,11 @@
     private fun read(reply: HttpReply, answered: LinkAnswer): LinkAnswer = try {
         if (reply.isSuccess) {
             val body = PeerJson.decodeFromString(AnswerBody.serializer(), reply.body)
-            answered.copy(outcome = Outcome.Served(body.value, body.fromReplica), token = body.session)
+            answered.copy(
+                outcome = Outcome.Served(body.value, body.fromReplica),
+                token = body.session,
+                transaction = body.transaction?.value,
+            )
         } else {
             answered.copy(outcome = refusalOf(PeerJson.decodeFromString(ErrorBody.serializer(), reply.body)))
         }
@@ -63,11 +69,27 @@
         retryAfterMillis = body.retryAfterMillis,
     )
 
-    private fun bodyOf(statement: LoadStatement, token: String?): String {
+    private fun pathOf(statement: LoadStatement): String = when (statement.type) {
+        StatementType.READ, StatementType.APPEND, StatementType.INSERT -> "/v1/statements"
+        StatementType.BEGIN -> "/v1/transactions"
+        StatementType.IN_TRANSACTION -> "/v1/transactions/${statement.transaction}/statements"
+        StatementType.COMMIT -> "/v1/transactions/${statement.transaction}/commit"
+        StatementType.ROLL_BACK -> "/v1/transactions/${statement.transaction}/rollback"
+    }
+
+    private fun bodyOf(statement: LoadStatement, token: String?): String = when (statement.type) {
+        StatementType.BEGIN, StatementType.COMMIT, StatementType.ROLL_BACK -> {
+            val body = TransactionBody(GroupId(statement.group), RequestId(statement.requestId), deadlineMillis, token)
+            WireJson.encodeToString(TransactionBody.serializer(), body)
+        }
+        else -> statementBody(statement, token)
+    }
+
+    private fun statementBody(statement: LoadStatement, token: String?): String {
         val body =
             StatementBody(
                 group = GroupId(statement.group),
-                access = if (statement.type.isWrite) Access.WRITE else Access.READ,
+                access = if (statement.type == StatementType.READ) Access.READ else Access.WRITE,
                 text = statement.text,
                 requestId = RequestId(statement.requestId),
                 acceptedAgeMillis = statement.acceptedAgeMillis,
--- a/load/src/main/kotlin/org/buckthornhub/load/session/SessionPlan.kt
+++ b/load/src/main/kotlin/org/buckthornhub/load/session/SessionPlan.kt
@@ -7,6 +7,7 @@
  * @property neighbour session whose data it also reads
  * @property offeredPerSecond statements a second that it tries to send
  * @property readShare part of its statements that read, from 0 to 1
+ * @property transactionShare part of its writes that are transactions of two appends
  * @property acceptedAgesMillis ages that some of its reads of foreign data accept
  */
 public data class SessionPlan(
@@ -17,6 +18,7 @@
     val offeredPerSecond: Double,
     val readShare: Double,
     val insertShare: Double = 0.05,
+    val transactionShare: Double = 0.0,
     val acceptedAgesMillis: List<Long> = emptyList(),
     val resendLimitMillis: Long = 2_000,
 )
--- a/load/src/main/kotlin/org/buckthornhub/load/session/StatementSource.kt
+++ b/load/src/main/kotlin/org/buckthornhub/load/session/StatementSource.kt
@@ -18,7 +18,8 @@
         if (random.nextDouble() < plan.insertShare) {
             return LoadStatement(requestId, group, StatementType.INSERT, "${plan.organisation}/bookings/${random.nextInt(BOOKINGS)}", value)
         }
-        return LoadStatement(requestId, group, StatementType.APPEND, key, value)
+        val type = if (random.nextDouble() < plan.transactionShare) StatementType.BEGIN else StatementType.APPEND
+        return LoadStatement(requestId, group, type, key, value)
     }
 
     private fun read(requestId: String, group: String, key: String): LoadStatement {
--- a/load/src/test/kotlin/org/buckthornhub/load/check/CheckCase.kt
+++ b/load/src/test/kotlin/org/buckthornhub/load/check/CheckCase.kt
@@ -13,6 +13,7 @@
     val lostWrites: Int = 0,
     val doubledWrites: Int = 0,
     val misdirectedAnswers: Int = 0,
+    val mixedTransactions: Int = 0,
     val wrongfulRefusals: Int = 0,
 ) {
     override fun toString(): String = name
--- a/load/src/test/kotlin/org/buckthornhub/load/check/FindingsTest.kt
+++ b/load/src/test/kotlin/org/buckthornhub/load/check/FindingsTest.kt
@@ -8,6 +8,7 @@
 import org.buckthornhub.load.check.Histories.lost
 import org.buckthornhub.load.check.Histories.read
 import org.buckthornhub.load.check.Histories.served
+import org.buckthornhub.load.check.Histories.transaction
 import org.buckthornhub.load.check.Histories.unknown
 import org.buckthornhub.target.TargetRole
 import org.junit.jupiter.params.ParameterizedTest
@@ -21,7 +22,14 @@
     fun `counts violations`(case: CheckCase) {
         val findings = Findings.of(Histories.evidence(case.attempts, case.logs, case.right))
         assertEquals(
-            listOf(case.readYourWrites, case.lostWrites, case.doubledWrites, case.misdirectedAnswers, case.wrongfulRefusals),
+            listOf(
+                case.readYourWrites,
+                case.lostWrites,
+                case.doubledWrites,
+                case.misdirectedAnswers,
+                case.mixedTransactions,
+                case.wrongfulRefusals,
+            ),
             findings.bySort().values.map { it.size },
             findings.toString(),
         )
@@ -33,7 +41,7 @@
         fun refused(number: Int, atMillis: Long) = append(number, atMillis, limited)
 
         @JvmStatic
-        fun cases(): List<CheckCase> = correct + wrong + limits
+        fun cases(): List<CheckCase> = correct + wrong + transactions + limits
 
         val correct =
             listOf(
@@ -101,6 +109,24 @@
                 ),
             )
 
+        val transactions =
+            listOf(
+                CheckCase("a whole transaction", transaction(1), listOf(logOf(listOf("r1" to "append org/s/0 org/s.1")))),
+                CheckCase(
+                    "a read misses a committed write",
+                    transaction(1) + read(null, 30),
+                    listOf(log(1)),
+                    readYourWrites = 1,
+                ),
+                CheckCase("a lost commit", transaction(1), listOf(log()), lostWrites = 1),
+                CheckCase(
+                    "a commit holds a statement of another transaction",
+                    transaction(1),
+                    listOf(logOf(listOf("r1" to "append org/t/0 org/t.1"))),
+                    mixedTransactions = 1,
+                ),
+            )
+
         val limits =
             listOf(
                 CheckCase("a refusal within the burst", listOf(refused(1, 0)), listOf(log()), right, wrongfulRefusals = 1),
--- a/load/src/test/kotlin/org/buckthornhub/load/check/Histories.kt
+++ b/load/src/test/kotlin/org/buckthornhub/load/check/Histories.kt
@@ -27,6 +27,13 @@
     fun append(number: Int, atMillis: Long, outcome: Outcome = served("org/s.$number"), group: String = "g") =
         attempt("r$number", StatementType.APPEND, "org/s/0", "org/s.$number", atMillis, outcome).copy(group = group)
 
+    /** A transaction `rN` that appends `org/s.N`. */
+    fun transaction(number: Int): List<Attempt> = listOf(
+        attempt("r$number+begin", StatementType.BEGIN, "org/s/0", null, 0, served(null)),
+        attempt("r$number+0", StatementType.IN_TRANSACTION, "org/s/0", "org/s.$number", 10, served(null)),
+        attempt("r$number", StatementType.COMMIT, "org/s/0", "org/s.$number", 20, served("org/s.$number")),
+    )
+
     fun insert(id: String, key: String, atMillis: Long, outcome: Outcome = served("v")) =
         attempt(id, StatementType.INSERT, key, id, atMillis, outcome)
 
