Tell followers of commits at once, and answer members in the reply

Answers between members now ride on the reply, which halves their requests. Keys are refused until a majority stood behind the configuration once since the start: a restarted control VM showed an older state for a moment. The feed case with an age beyond the clock's zero now has a case of its own; the case that stood there names a positive time.

--- a/core/src/main/kotlin/org/buckthornhub/control/FeedDecider.kt
+++ b/core/src/main/kotlin/org/buckthornhub/control/FeedDecider.kt
@@ -42,7 +42,7 @@
         val newer = offered?.takeIf { it.revision > known.revision } ?: known
         // A source that is behind this daemon says nothing about how fresh the newer state is.
         val freshMillis = freshMillisOf(message)?.takeIf { answer.revision >= newer.revision }
-        val view = ReplicatedView(newer, maxOf(state.view.freshMillis, freshMillis ?: 0))
+        val view = ReplicatedView(newer, maxOf(state.view.freshMillis, freshMillis?.coerceAtLeast(1) ?: 0))
         if (newer === known) return state.copy(view = view)
         val history = state.history.put(known.revision, known)
         val kept = if (history.size > KEPT_REVISIONS) history.remove(history.keys.min()) else history
--- a/core/src/main/kotlin/org/buckthornhub/organisation/RefuseStaleInterceptor.kt
+++ b/core/src/main/kotlin/org/buckthornhub/organisation/RefuseStaleInterceptor.kt
@@ -27,7 +27,8 @@
     }
 
     private fun refusalOf(current: ReplicatedView): ProxyError? {
-        if (current.state.revision == 0L && current.freshMillis == 0L) return stale("this daemon has not received the configuration yet")
+        // A control VM that has just started may hold a state in which a withdrawn key is still good.
+        if (current.freshMillis == 0L) return stale("this daemon has received no configuration that a majority stood behind")
         val ageMillis = clock.nowMillis() - current.freshMillis
         if (refuseAfterMillis == null || ageMillis <= refuseAfterMillis) return null
         return stale("the configuration is $ageMillis ms old; the limit is $refuseAfterMillis ms")
--- a/core/src/main/kotlin/org/buckthornhub/replication/Leading.kt
+++ b/core/src/main/kotlin/org/buckthornhub/replication/Leading.kt
@@ -69,11 +69,15 @@
         val progress = leader.followers[message.from] ?: return start
         val next = progressed(progress, message, leader.round)
         val step = start.updateLeader { copy(followers = followers.put(message.from, next)) }
-        val committed = Membership.review(Commitment.advance(step, nowMillis), nowMillis)
+        val committed = Membership.review(announceCommit(Commitment.advance(step, nowMillis), nowMillis, start), nowMillis)
         val hasMore = next.nextIndex <= start.state.log.lastIndex && next.nextIndex != progress.nextIndex
         return if (hasMore) sendTo(committed, message.from) else committed
     }
 
+    // Followers feed daemons, so they learn of a commit at once and not with the next heartbeat.
+    private fun announceCommit(step: Step, nowMillis: Long, before: Step): Step =
+        if (step.state.commitIndex > before.state.commitIndex) broadcast(step, nowMillis) else step
+
     private fun progressed(progress: Progress, message: PeerMessage.AppendAnswer, round: Long): Progress {
         val isNewer = progress.echo == null || message.echo > progress.echo
         val isPending = progress.confirmedEcho != progress.echo
--- a/core/src/test/kotlin/org/buckthornhub/control/FeedDeciderTest.kt
+++ b/core/src/test/kotlin/org/buckthornhub/control/FeedDeciderTest.kt
@@ -84,7 +84,20 @@
                 0,
                 "c2",
             ),
-            FeedCase("a source that a majority left behind", listOf(started, 110L to answered(1, answer(5, age = 1_500))), 5, 0, "c2"),
+            FeedCase(
+                "a source that a majority left behind",
+                listOf(started, 2_010L to answered(1, answer(5, age = 1_500), asked = 2_000)),
+                5,
+                500,
+                "c2",
+            ),
+            FeedCase(
+                "confirmed before the clock of this daemon began",
+                listOf(started, 110L to answered(1, answer(5, age = 1_500))),
+                5,
+                1,
+                "c2",
+            ),
             FeedCase("a source that never had a majority", listOf(started, 110L to answered(1, answer(0, age = null))), 0, 0, "c2"),
             FeedCase("an answer that was long on its way", listOf(started, 2_000L to answered(1, answer(5))), 5, 100, "c2"),
             FeedCase(
--- /dev/null
+++ b/core/src/test/kotlin/org/buckthornhub/organisation/StaleCase.kt
@@ -0,0 +1,12 @@
+package org.buckthornhub.organisation
+
+import org.buckthornhub.error.ErrorKind
+
+/** A request that meets a configuration of some age, and the refusal, if any. */
+internal data class StaleCase(
+    val name: String,
+    val freshMillis: Long,
+    val refuseAfterMillis: Long?,
+    val key: ApiKey? = ApiKey("good"),
+    val error: ErrorKind? = null,
+)
--- a/daemon/src/main/kotlin/org/buckthornhub/control/ControlAssembly.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/control/ControlAssembly.kt
@@ -6,6 +6,7 @@
 import org.buckthornhub.clock.Clock
 import org.buckthornhub.fleet.FleetView
 import org.buckthornhub.fleet.StateSource
+import org.buckthornhub.fleet.VmId
 import org.buckthornhub.http.HttpLink
 import org.buckthornhub.http.PeerJson
 import org.buckthornhub.http.Route
@@ -16,6 +17,8 @@
 import org.buckthornhub.organisation.WithdrawalRoutes
 import org.buckthornhub.organisation.WithdrawalSpread
 import org.buckthornhub.peer.PeerAuthority
+import org.buckthornhub.replication.PeerMessage
+import org.buckthornhub.replication.ReplicationMessage
 import org.buckthornhub.replication.ReplicationSettings
 import org.buckthornhub.replication.ReplicationState
 import org.buckthornhub.settings.Settings
@@ -37,8 +40,9 @@
 ) {
     private val control = settings.control
     private val folder = control.dataFolder?.let { File(it) }
-    private val memberLinks = (control.members - settings.vm).mapValues { (_, address) -> MemberLinkTask(address, links, authority) }
-    private val memberTask = if (settings.vm in control.members) openMember() else null
+    private val memberLinks: Map<VmId, MemberLinkTask> =
+        (control.members - settings.vm).mapValues { (_, address) -> MemberLinkTask(address, links, authority) { receive(it) } }
+    private val memberTask: ControlTask? = if (settings.vm in control.members) openMember() else null
 
     /** For the deciders that run on the control leader; null if this is no control VM. */
     val log: ControlLog? = memberTask
@@ -57,12 +61,19 @@
             WithdrawalRoutes(settings, feed, authority).routes() +
             OperatorRoutes(control.operatorSecret, configuration, commands, spread).routes()
 
+    /** False until this daemon has a configuration that a majority stood behind. */
+    fun isReady(): Boolean = view.current().freshMillis > 0
+
     fun start(scope: CoroutineScope) {
         memberLinks.values.forEach { it.start(scope) }
         memberTask?.start(scope)
         feed.start(scope)
     }
 
+    private fun receive(message: PeerMessage) {
+        memberTask?.offer(ControlMessage.Replicate(ReplicationMessage.Received(message)))
+    }
+
     private fun openMember(): ControlTask {
         val folder = checkNotNull(folder) { "a control VM needs control.data_folder" }
         val opened = FolderStorage.open(folder, settings.vm).getOrElse { error(it.detail) }
--- a/daemon/src/main/kotlin/org/buckthornhub/control/ControlMessage.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/control/ControlMessage.kt
@@ -3,12 +3,19 @@
 import com.github.michaelbull.result.Result
 import kotlinx.coroutines.CompletableDeferred
 import org.buckthornhub.error.ProxyError
+import org.buckthornhub.replication.PeerMessage
 import org.buckthornhub.replication.ReplicationMessage
 
 /** What the task of a control VM is told. */
 internal sealed interface ControlMessage {
     data class Replicate(val message: ReplicationMessage) : ControlMessage
 
+    /** A message of another member, and where to put what goes back to it. */
+    data class Exchange(
+        val message: PeerMessage,
+        val answers: CompletableDeferred<List<PeerMessage>>,
+    ) : ControlMessage
+
     data class Propose(
         val command: ControlCommand,
         val answer: CompletableDeferred<Result<CommandOutcome, ProxyError>>,
--- a/daemon/src/main/kotlin/org/buckthornhub/control/ControlRoutes.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/control/ControlRoutes.kt
@@ -2,8 +2,10 @@
 
 import com.github.michaelbull.result.mapBoth
 import io.ktor.http.HttpMethod
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.SerializationException
+import kotlinx.serialization.builtins.ListSerializer
 import org.buckthornhub.caller.errorReply
 import org.buckthornhub.error.ErrorKind
 import org.buckthornhub.error.ProxyError
@@ -13,7 +15,6 @@
 import org.buckthornhub.http.Route
 import org.buckthornhub.peer.PeerAuthority
 import org.buckthornhub.replication.PeerMessage
-import org.buckthornhub.replication.ReplicationMessage
 
 /** What a control VM takes from the other ones, and what its leader takes from any daemon. */
 internal class ControlRoutes(
@@ -25,15 +26,17 @@
         Route(HttpMethod.Post, PROPOSE, authority.guard(LeaderGuard(task.leadership).guard { propose(it) })),
     )
 
-    private fun receive(request: HttpRequest): HttpReply {
+    private suspend fun receive(request: HttpRequest): HttpReply {
         val message =
             try {
                 PeerJson.decodeFromString(PeerMessage.serializer(), request.body)
             } catch (e: SerializationException) {
                 return errorReply(ProxyError(ErrorKind.MALFORMED_REQUEST, e.message.orEmpty().lineSequence().first()))
             }
-        task.offer(ControlMessage.Replicate(ReplicationMessage.Received(message)))
-        return HttpReply(status = 200, body = "")
+        val answers = CompletableDeferred<List<PeerMessage>>()
+        task.offer(ControlMessage.Exchange(message, answers))
+        val back = withTimeoutOrNull(EXCHANGE_TIMEOUT_MILLIS) { answers.await() }.orEmpty()
+        return HttpReply(status = 200, body = PeerJson.encodeToString(ListSerializer(PeerMessage.serializer()), back))
     }
 
     private suspend fun propose(request: HttpRequest): HttpReply {
@@ -53,6 +56,7 @@
 
     internal companion object {
         const val PROPOSE = "/internal/control/propose"
+        private const val EXCHANGE_TIMEOUT_MILLIS = 400L
         private const val COMMIT_TIMEOUT_MILLIS = 3_000L
     }
 }
--- a/daemon/src/main/kotlin/org/buckthornhub/control/ControlTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/control/ControlTask.kt
@@ -66,6 +66,7 @@
 
     override suspend fun handle(message: ControlMessage): Unit = when (message) {
         is ControlMessage.Replicate -> decide(message.message)
+        is ControlMessage.Exchange -> exchange(message)
         is ControlMessage.Propose -> {
             proposals = proposals.put(++nextToken, message.answer)
             decide(ReplicationMessage.Propose(nextToken, message.command))
@@ -76,13 +77,24 @@
         }
     }
 
+    // What goes back to the sender rides on the reply to its request: half the requests between members.
+    private suspend fun exchange(exchange: ControlMessage.Exchange) {
+        val sender = exchange.message.from.vm
+        val others = decideAndSync(ReplicationMessage.Received(exchange.message))
+        val (back, onward) = others.partition { it is ReplicationEffect.Send && it.to == sender }
+        exchange.answers.complete(back.filterIsInstance<ReplicationEffect.Send>().map { it.message })
+        onward.forEach { carryOut(it) }
+    }
+
+    private suspend fun decide(message: ReplicationMessage): Unit = decideAndSync(message).forEach { carryOut(it) }
+
     // The state is published before any answer, so that whoever got an answer reads what it speaks of.
-    private suspend fun decide(message: ReplicationMessage) {
+    private suspend fun decideAndSync(message: ReplicationMessage): List<ReplicationEffect> {
         val decision = decider.decide(published.value, message, clock.nowMillis())
         val (durable, others) = decision.effects.partition { it is ReplicationEffect.Persist || it is ReplicationEffect.Rewrite }
         durable.forEach { carryOut(it) }
         published.value = decision.state
-        others.forEach { carryOut(it) }
+        return others
     }
 
     private suspend fun carryOut(effect: ReplicationEffect) {
@@ -109,7 +121,7 @@
     }
 
     private companion object {
-        const val TICK_MILLIS = 10L
+        const val TICK_MILLIS = 20L
         val overloaded = Err(ProxyError(ErrorKind.NO_QUORUM, "this control VM has too much to do"))
     }
 }
--- a/daemon/src/main/kotlin/org/buckthornhub/daemon/DaemonAssembly.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/daemon/DaemonAssembly.kt
@@ -47,7 +47,7 @@
                 fleet.routes +
                 control.routes +
                 targets.routes() +
-                PlatformRoutes { true }.routes()
+                PlatformRoutes { control.isReady() }.routes()
         HttpServer(settings.host, settings.port, routes, settings.maxBodyBytes).start()
     }
 
