--- a/core/src/main/kotlin/org/buckthornhub/control/FeedDecider.kt
+++ b/core/src/main/kotlin/org/buckthornhub/control/FeedDecider.kt
@@ -25,13 +25,16 @@
         val freshMillis = freshMillisOf(message)
         val isStale = freshMillis == null || nowMillis - freshMillis > STALE_MILLIS
         val merged = withdraw(received, answer.withdrawn.orEmpty())
-        val next = if (isStale) merged.state.copy(position = state.position + 1) else merged.state.copy(failures = 0)
+        val next = if (isStale) merged.state.copy(position = state.position + 1) else merged.state
         // A stale source that answers at once must not be asked in a loop.
         val asked = ask(next, delayMillis = if (isStale && answer.heldMillis < RETRY_MILLIS) RETRY_MILLIS else 0)
         val events = withdrawnSince(state.configuration, asked.state.configuration)
+        // What the quorum has recorded need not be kept here any more.
+        val isRecorded = !asked.state.withdrawn.containsAll(state.withdrawn)
+        val saved = if (isRecorded) listOf(FeedEffect.SaveWithdrawn(asked.state.withdrawn)) else emptyList()
         return Decision(
             asked.state,
-            persistentListOf<FeedEffect>().addAll(events).addAll(merged.effects - events.toSet()).addAll(asked.effects),
+            persistentListOf<FeedEffect>().addAll(events).addAll(saved).addAll(merged.effects - events.toSet()).addAll(asked.effects),
         )
     }
 
@@ -54,7 +57,7 @@
         message.answer.ageMillis?.let { message.askedMillis + message.answer.heldMillis - it }
 
     private fun failed(state: FeedState): Decision<FeedState, FeedEffect> =
-        ask(state.copy(position = state.position + 1, failures = state.failures + 1), delayMillis = RETRY_MILLIS)
+        ask(state.copy(position = state.position + 1), delayMillis = RETRY_MILLIS)
 
     private fun ask(state: FeedState, delayMillis: Long): Decision<FeedState, FeedEffect> {
         val source = state.source ?: return Decision(state)
--- a/core/src/main/kotlin/org/buckthornhub/control/FeedState.kt
+++ b/core/src/main/kotlin/org/buckthornhub/control/FeedState.kt
@@ -23,7 +23,6 @@
     val peers: PersistentList<String> = persistentListOf(),
     val position: Int = 0,
     val attempt: Long = 0,
-    val failures: Int = 0,
     val view: ReplicatedView = ReplicatedView(),
     val withdrawn: PersistentSet<String> = persistentSetOf(),
     val configuration: Configuration = Configuration(),
--- a/core/src/test/kotlin/org/buckthornhub/control/FeedDeciderTest.kt
+++ b/core/src/test/kotlin/org/buckthornhub/control/FeedDeciderTest.kt
@@ -37,6 +37,7 @@
         val effects = messages.fold(start to emptyList<FeedEffect>()) { (state, effects), message ->
             decider.decide(state, message, 100).let { it.state to effects + it.effects }
         }.second
+        assertEquals(listOf(setOf("k1"), emptySet()), effects.filterIsInstance<FeedEffect.SaveWithdrawn>().map { it.keyNames })
         assertEquals(
             listOf(setOf("k1")),
             effects.filterIsInstance<FeedEffect.KeysWithdrawn>().map { told ->
--- a/daemon/src/main/kotlin/org/buckthornhub/control/ControlCommands.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/control/ControlCommands.kt
@@ -3,6 +3,7 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getOrElse
 import kotlinx.serialization.SerializationException
 import org.buckthornhub.caller.wire.ErrorBody
@@ -16,6 +17,11 @@
     /** Commits [command], or answers `NO_QUORUM`, which leaves open whether it is committed later. */
     suspend fun commit(command: ControlCommand): Result<CommandOutcome, ProxyError> {
         val body = PeerJson.encodeToString(ControlCommand.serializer(), command)
+        // Every command may be sent again: it is applied once, by its change id, its expected term or by its nature.
+        repeat(ATTEMPTS - 1) {
+            val early = client.post(ControlRoutes.PROPOSE, body, TIMEOUT_MILLIS).get()
+            if (early != null && early.isSuccess) return outcomeOf(early)
+        }
         val reply = client.post(ControlRoutes.PROPOSE, body, TIMEOUT_MILLIS).getOrElse { return noQuorum(it.detail) }
         return if (reply.isSuccess) outcomeOf(reply) else noQuorum(detailOf(reply))
     }
@@ -35,6 +41,7 @@
     private fun noQuorum(detail: String) = Err(ProxyError(ErrorKind.NO_QUORUM, detail))
 
     private companion object {
-        const val TIMEOUT_MILLIS = 4_000L
+        const val ATTEMPTS = 3
+        const val TIMEOUT_MILLIS = 1_300L
     }
 }
--- a/daemon/src/main/kotlin/org/buckthornhub/control/ControlRoutes.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/control/ControlRoutes.kt
@@ -57,6 +57,6 @@
     internal companion object {
         const val PROPOSE = "/internal/control/propose"
         private const val EXCHANGE_TIMEOUT_MILLIS = 400L
-        private const val COMMIT_TIMEOUT_MILLIS = 3_000L
+        private const val COMMIT_TIMEOUT_MILLIS = 1_200L
     }
 }
