--- a/daemon/src/main/kotlin/org/buckthornhub/daemon/DaemonAssembly.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/daemon/DaemonAssembly.kt
@@ -93,7 +93,7 @@
             leases.routes +
             limits.routes +
             observe.routes +
-            PlatformRoutes(isReady).routes()
+            PlatformRoutes { isReady() && control.isReady() }.routes()
     }
 
     private fun interceptors(): PersistentList<Interceptor> = persistentListOf(
