Tell a small fleet of a new primary at once; tables of cases for grants and candidates

Change: the owner that is offered the lease probes its targets at once, and a daemon that hears of a new primary tells up to eight others without waiting for its period.

--- a/core/src/main/kotlin/org/buckthornhub/fleet/FleetDecider.kt
+++ b/core/src/main/kotlin/org/buckthornhub/fleet/FleetDecider.kt
@@ -3,6 +3,8 @@
 import kotlinx.collections.immutable.persistentListOf
 import org.buckthornhub.decision.Decider
 import org.buckthornhub.decision.Decision
+import org.buckthornhub.target.TargetEntry
+import org.buckthornhub.target.TargetRole
 import kotlin.random.Random
 
 /**
@@ -16,7 +18,7 @@
 
     override fun decide(state: FleetState, message: FleetMessage, nowMillis: Long): Decision<FleetState, FleetEffect> = when (message) {
         is FleetMessage.Tick -> tick(state, nowMillis)
-        is FleetMessage.Announced -> Decision(TargetMerge.heard(state, message.entry, nowMillis))
+        is FleetMessage.Announced -> announced(state, message.entry, nowMillis)
         is FleetMessage.Received -> received(state, message, nowMillis)
         is FleetMessage.Acknowledged -> Decision(merge(state, message.body, nowMillis))
         is FleetMessage.ProbeFailed -> askRelays(state, message.vm, nowMillis)
@@ -32,6 +34,16 @@
         return sendTo(next, chosen, nowMillis)
     }
 
+    // Callers wait for a new primary, so a small fleet does not wait for the next period to hear of it.
+    private fun announced(state: FleetState, entry: TargetEntry, nowMillis: Long): Decision<FleetState, FleetEffect> {
+        val heard = TargetMerge.heard(state, entry, nowMillis)
+        val knownTerm = state.view.targets[entry.target]?.term ?: return Decision(heard)
+        if (entry.role != TargetRole.PRIMARY || entry.term <= knownTerm) return Decision(heard)
+        val random = Random(heard.seed)
+        val told = heard.livePeers().shuffled(random).take(settings.urgentPeers)
+        return sendTo(heard.copy(seed = random.nextLong()), told.map { it.vm to it.address }, nowMillis)
+    }
+
     private fun sendTo(state: FleetState, peers: List<Pair<VmId?, String>>, nowMillis: Long): Decision<FleetState, FleetEffect> =
         peers.fold(Decision(state, persistentListOf())) { decision, (vm, address) ->
             val isAlone = decision.state.livePeers().isEmpty()
--- a/core/src/main/kotlin/org/buckthornhub/fleet/FleetSettings.kt
+++ b/core/src/main/kotlin/org/buckthornhub/fleet/FleetSettings.kt
@@ -11,6 +11,7 @@
  * @property deadProbeTicks a dead daemon or a seed is probed every so many periods
  * @property smallZone in a zone with fewer daemons than this, each probes two of the others a period
  * @property relays daemons that are asked to probe a silent one
+ * @property urgentPeers daemons that are told at once when a target takes a new term
  * @property maxNews changes of each kind in one message
  * @property refreshedTargets targets that a message repeats without a change
  * @property dropTargetMillis a target that nobody heard for so long is forgotten
@@ -25,6 +26,7 @@
     val deadProbeTicks: Long = 5,
     val smallZone: Int = 8,
     val relays: Int = 2,
+    val urgentPeers: Int = 8,
     val maxNews: Int = 8,
     val refreshedTargets: Int = 2,
     val dropTargetMillis: Long = 15_000,
--- /dev/null
+++ b/core/src/test/kotlin/org/buckthornhub/promotion/SafeCandidatePolicyTest.kt
@@ -0,0 +1,84 @@
+package org.buckthornhub.promotion
+
+import kotlinx.collections.immutable.persistentMapOf
+import org.buckthornhub.group.GroupId
+import org.buckthornhub.group.GroupLeadership
+import org.buckthornhub.group.LogPosition
+import org.buckthornhub.group.Term
+import org.buckthornhub.lease.TargetReport
+import org.buckthornhub.target.TargetId
+import org.buckthornhub.target.TargetRole
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.MethodSource
+import kotlin.test.assertEquals
+
+/** Who is promoted, and when nobody may be. */
+internal class SafeCandidatePolicyTest {
+    @ParameterizedTest
+    @MethodSource("cases")
+    fun `the chosen one has every acknowledged write`(case: CandidateCase) {
+        val policy = SafeCandidatePolicy(PromotionSettings(requireMajority = case.requireMajority))
+        val promotion =
+            Promotion(group, case.reason, Term(3), Promotion.Step.SURVEY, sinceMillis = 0, wanted = case.wanted?.let { TargetId(it) })
+        val chosen = policy.choose(promotion, leadership, case.answers.map { leadership.kept(it) }, case.instances)
+        assertEquals(case.chosen, chosen?.target?.value)
+    }
+
+    private companion object {
+        private val group = GroupId("ledger")
+        private val leadership =
+            GroupLeadership(
+                group = group,
+                term = Term(3),
+                primary = TargetId("t0"),
+                termStart = LogPosition(20),
+                earlierStarts = persistentMapOf(Term(1) to LogPosition(0), Term(2) to LogPosition(10)),
+            )
+
+        @JvmStatic
+        fun cases(): List<CandidateCase> = listOf(
+            CandidateCase("both others answer", listOf(replica("t1", 25), replica("t2", 27)), chosen = "t2"),
+            CandidateCase("only one other answers", listOf(replica("t1", 25)), chosen = null),
+            CandidateCase("nobody answers", emptyList(), chosen = null),
+            CandidateCase("only one other answers, any is taken", listOf(replica("t1", 25)), chosen = "t1", requireMajority = false),
+            CandidateCase("one of two instances", listOf(replica("t1", 25)), chosen = "t1", instances = 2),
+            CandidateCase("three of five instances", listOf(replica("t1", 25), replica("t2", 2), replica("t3", 3)), null, instances = 5),
+            CandidateCase("the primary and one as far", listOf(primary(25), replica("t1", 25)), chosen = "t1"),
+            CandidateCase("the primary and one behind", listOf(primary(26), replica("t1", 25)), chosen = null),
+            CandidateCase("the primary, restarted, and one behind", listOf(restarted(26), replica("t1", 25)), chosen = "t0"),
+            CandidateCase("equal, one leaves", listOf(replica("t1", 25).copy(leaving = true), replica("t2", 25)), chosen = "t2"),
+            CandidateCase("lost entries of an old term don't count", listOf(replica("t1", 99, term = 1), replica("t2", 12)), chosen = "t2"),
+            CandidateCase("a new term without its entries does not count", listOf(replica("t1", 3), replica("t2", 15, term = 2)), "t2"),
+            CandidateCase(
+                "the wanted one is there",
+                listOf(primary(25), replica("t1", 25), replica("t2", 25)),
+                "t2",
+                wanted = "t2",
+                reason = planned,
+            ),
+            CandidateCase(
+                "the wanted one is behind",
+                listOf(primary(25), replica("t1", 25), replica("t2", 24)),
+                null,
+                wanted = "t2",
+                reason = planned,
+            ),
+            CandidateCase(
+                "a planned change without the primary",
+                listOf(replica("t1", 25), replica("t2", 25)),
+                null,
+                wanted = "t2",
+                reason = planned,
+            ),
+        )
+
+        private val planned = PromotionReason.OPERATOR
+
+        private fun replica(name: String, received: Long, term: Long = 3) =
+            TargetReport(TargetId(name), group, name, TargetRole.REPLICA, Term(term), LogPosition(received))
+
+        private fun primary(received: Long) = replica("t0", received).copy(role = TargetRole.PRIMARY)
+
+        private fun restarted(received: Long) = replica("t0", received)
+    }
+}
--- a/daemon/src/main/kotlin/org/buckthornhub/lease/LeaseAssembly.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/lease/LeaseAssembly.kt
@@ -55,7 +55,7 @@
     /** The leases that this daemon holds. */
     val leases: StateSource<HeldLeases> = holder.leases
     val routes: List<Route> =
-        LeaseRoutes(holder, promotions, authority, leaderOnly).routes() +
+        LeaseRoutes({ offered(it) }, promotions, authority, leaderOnly).routes() +
             MoveRoutes(control, promotions, operators, authority, leaderOnly).routes() +
             StatusRoutes(operators, fleet, replicated, leases, promotions, clock).routes()
 
@@ -70,6 +70,12 @@
         holder.offer(HolderTaskMessage.Leave)
     }
 
+    // A new primary is looked at at once, so that the fleet hears of it before its next announcement.
+    private fun offered(message: HolderTaskMessage): Boolean {
+        health.offer(HealthMessage.Probe(ownedTargets()))
+        return holder.offer(message)
+    }
+
     private fun reports(): List<TargetReport> = health.current().reports(clock.nowMillis(), healthSettings)
 
     private fun ownedTargets(): List<TargetEntry> {
