--- a/daemon/src/main/kotlin/org/buckthornhub/daemon/DaemonAssembly.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/daemon/DaemonAssembly.kt
@@ -40,7 +40,7 @@
         val fleet = FleetAssembly(settings, authority, HttpLinks, clock)
         val control = ControlAssembly(settings, authority, HttpLinks, clock, fleet.view, onWithdrawn = { true })
         val leases = newLeases(fleet, control, authority)
-        val targets = TargetAssembly(settings, clock, fleet.view, control.view, leases.leases)
+        val targets = TargetAssembly(settings, clock, fleet.view, leases.view, leases.leases)
         fleet.start(scope)
         control.start(scope)
         leases.start(scope)
--- a/daemon/src/main/kotlin/org/buckthornhub/lease/HolderTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/lease/HolderTask.kt
@@ -30,13 +30,16 @@
 ) : Task<HolderTaskMessage>("lease-holder") {
     private val decider = HolderDecider(settings)
     private val published = MutableStateFlow(HolderState(holder))
-    private var offered: PersistentMap<GroupId, GroupLeadership> = persistentMapOf()
+    private val offered = MutableStateFlow<PersistentMap<GroupId, GroupLeadership>>(persistentMapOf())
     private var isLeaving = false
     private lateinit var scope: CoroutineScope
 
     /** The leases that this daemon holds. */
     val leases: StateSource<HeldLeases> = StateSource { published.value.held }
 
+    /** The feed's view with the committed leaderships that the control leader offered ahead of it. */
+    val view: StateSource<ReplicatedView> = StateSource { withOffered(replicated.current()) }
+
     override suspend fun onStart(scope: CoroutineScope) {
         this.scope = scope
         scope.startTicker(this, settings.renewMillis, HolderTaskMessage.Renew)
@@ -57,7 +60,7 @@
     }
 
     private fun offered(leadership: GroupLeadership) {
-        offered = offered.put(leadership.group, leadership)
+        offered.value = offered.value.put(leadership.group, leadership)
         renew()
     }
 
@@ -68,13 +71,12 @@
 
     private fun wanted(reports: List<TargetReport>): List<GroupTerm> {
         val reached = reports.filter { it.reachable }.map { it.target }
-        return leaderships().filter { it.primary in reached }.map { GroupTerm(it.group, it.term) }
+        return view.current().state.leaderships.values.filter { it.primary in reached }.map { GroupTerm(it.group, it.term) }
     }
 
-    private fun leaderships(): List<GroupLeadership> {
-        val known = replicated.current().state.leaderships
-        val newer = offered.values.filter { it.term > (known[it.group]?.term ?: Term.NONE) }
-        return known.values.filter { found -> newer.none { it.group == found.group } } + newer
+    private fun withOffered(known: ReplicatedView): ReplicatedView {
+        val newer = offered.value.filter { (group, found) -> found.term > (known.state.leaderships[group]?.term ?: Term.NONE) }
+        return if (newer.isEmpty()) known else known.copy(state = known.state.copy(leaderships = known.state.leaderships + newer))
     }
 
     private fun decide(message: HolderMessage) {
--- a/daemon/src/main/kotlin/org/buckthornhub/lease/LeaseAssembly.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/lease/LeaseAssembly.kt
@@ -54,6 +54,9 @@
 
     /** The leases that this daemon holds. */
     val leases: StateSource<HeldLeases> = holder.leases
+
+    /** The feed's view, with what the control leader has told this daemon ahead of it. */
+    val view: StateSource<ReplicatedView> = holder.view
     val routes: List<Route> =
         LeaseRoutes({ offered(it) }, promotions, authority, leaderOnly).routes() +
             MoveRoutes(control, promotions, operators, authority, leaderOnly).routes() +
