--- a/daemon/src/main/kotlin/org/buckthornhub/settings/SettingDefinitions.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/settings/SettingDefinitions.kt
@@ -45,6 +45,36 @@
                 "JSON file with the lists and keys of a first start.",
                 isOptional = true,
             ),
+            SettingDefinition(
+                "write.acknowledge",
+                SettingKind.Choice(listOf("second-instance", "primary")),
+                "second-instance",
+                "When a write counts as done: once one more instance has received it, or once the primary has it.",
+            ),
+            SettingDefinition(
+                "session.monotonic_reads",
+                SettingKind.Choice(listOf("no", "yes")),
+                "no",
+                "Whether a session never reads older data than it has read; it always reads its own writes.",
+            ),
+            SettingDefinition(
+                "target.silence_ms",
+                SettingKind.Whole(100L..600_000L),
+                1_800L,
+                "A connection to a target that gives no answer for this time is dropped, in ms.",
+            ),
+            SettingDefinition(
+                "transaction.idle_ms",
+                SettingKind.Whole(100L..600_000L),
+                10_000L,
+                "A transaction that is not used for this time is rolled back, in ms.",
+            ),
+            SettingDefinition(
+                "transaction.total_ms",
+                SettingKind.Whole(100L..3_600_000L),
+                60_000L,
+                "A transaction is rolled back after this time in any case, in ms.",
+            ),
             SettingDefinition("log.format", SettingKind.Choice(listOf("text", "json")), "text", "Form of the log lines on standard error."),
         )
 }
--- a/daemon/src/main/kotlin/org/buckthornhub/settings/Settings.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/settings/Settings.kt
@@ -2,6 +2,8 @@
 
 import org.buckthornhub.fleet.VmId
 import org.buckthornhub.fleet.ZoneId
+import org.buckthornhub.session.SessionPolicy
+import org.buckthornhub.target.owner.OwnerLimits
 
 /** The checked settings of one daemon; see docs/OPERATING.md for the TOML keys. */
 public data class Settings(
@@ -14,5 +16,7 @@
     val defaultDeadlineMillis: Long,
     val maxBodyBytes: Long,
     val logFormat: LogFormat,
+    val owner: OwnerLimits = OwnerLimits(),
+    val sessions: SessionPolicy = SessionPolicy(),
     val fleetSeeds: List<String> = emptyList(),
 )
--- a/daemon/src/main/kotlin/org/buckthornhub/settings/SettingsLoader.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/settings/SettingsLoader.kt
@@ -73,6 +73,8 @@
         defaultDeadlineMillis = values.whole("request.default_deadline_ms"),
         maxBodyBytes = values.whole("listen.max_body_bytes"),
         logFormat = LogFormat.valueOf(values.text("log.format").uppercase()),
+        owner = ownerLimits(values),
+        sessions = SessionPolicy(isMonotonic = values.text("session.monotonic_reads") == "yes"),
         fleetSeeds = values.texts("fleet.seeds"),
     )
 }
--- a/daemon/src/main/kotlin/org/buckthornhub/target/TargetAssembly.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/target/TargetAssembly.kt
@@ -25,7 +25,6 @@
 import org.buckthornhub.routing.RouteInterceptor
 import org.buckthornhub.settings.Settings
 import org.buckthornhub.target.owner.LeaseWriteAuthority
-import org.buckthornhub.target.owner.OwnerLimits
 import org.buckthornhub.target.owner.OwnerLocator
 import org.buckthornhub.target.owner.UnleasedGroupAuthority
 
@@ -44,7 +43,7 @@
     private val environment = OwnerEnvironment(settings.vm, clock, view, authority, drivers, replicated) { group, after ->
         samples.samplesOf(group, after)
     }
-    private val own = GatewayTask(environment, OwnerLimits())
+    private val own = GatewayTask(environment, settings.owner)
     private val peers = PeerTask(view, HttpLinks, peerAuthority, clock)
     private val locator = OwnerLocator(settings.vm, view, replicated, RendezvousOwnerPolicy())
     private val samples: SampleSource = OwnedSampleSource(settings.vm, clock, view, replicated, locator, own, peers)
@@ -67,7 +66,7 @@
             retries = BudgetRetryPolicy(retryBudget),
             pause = { delay(it) },
         ),
-        ExecuteInterceptor(gateway, positions),
+        ExecuteInterceptor(gateway, positions, settings.sessions),
     )
 
     fun start(scope: CoroutineScope) {
