--- a/cli/src/main/kotlin/org/buckthornhub/cli/CommandLine.kt
+++ b/cli/src/main/kotlin/org/buckthornhub/cli/CommandLine.kt
@@ -1,7 +1,12 @@
 package org.buckthornhub.cli
 
+import org.buckthornhub.cli.grant.GrantCommand
+import org.buckthornhub.cli.key.KeyCommand
 import org.buckthornhub.cli.load.LoadCommand
+import org.buckthornhub.cli.plan.PlanCommand
+import org.buckthornhub.cli.primary.PrimaryCommand
 import org.buckthornhub.cli.statement.StatementCommand
+import org.buckthornhub.cli.status.StatusCommand
 import org.kohsuke.args4j.Argument
 import org.kohsuke.args4j.spi.SubCommand
 import org.kohsuke.args4j.spi.SubCommandHandler
@@ -9,10 +14,20 @@
 
 /** The command line of `buckthornhub`. */
 internal class CommandLine {
-    @Argument(required = true, metaVar = "COMMAND", handler = SubCommandHandler::class, usage = "statement, load")
+    @Argument(
+        required = true,
+        metaVar = "COMMAND",
+        handler = SubCommandHandler::class,
+        usage = "statement, load, plan, grant, key, primary, status",
+    )
     @SubCommands(
         SubCommand(name = "statement", impl = StatementCommand::class),
         SubCommand(name = "load", impl = LoadCommand::class),
+        SubCommand(name = "plan", impl = PlanCommand::class),
+        SubCommand(name = "grant", impl = GrantCommand::class),
+        SubCommand(name = "key", impl = KeyCommand::class),
+        SubCommand(name = "primary", impl = PrimaryCommand::class),
+        SubCommand(name = "status", impl = StatusCommand::class),
     )
     var command: Command? = null
 }
--- a/core/src/test/kotlin/org/buckthornhub/routing/AttemptTest.kt
+++ b/core/src/test/kotlin/org/buckthornhub/routing/AttemptTest.kt
@@ -38,7 +38,13 @@
         val gateway = TargetGateway { call ->
             val kind = case.attempts.getOrElse(sends) { ErrorKind.STATEMENT_REJECTED }
             sends += 1
-            if (kind == null) Ok(Answer(null, Position.START, call.target, fromReplica = false)) else Err(ProxyError(kind, "attempt $sends"))
+            if (kind ==
+                null
+            ) {
+                Ok(Answer(null, Position.START, call.target, fromReplica = false))
+            } else {
+                Err(ProxyError(kind, "attempt $sends"))
+            }
         }
         val statement = Statement(GroupId("g"), Access.WRITE, "put x 1", case.isRepeatable)
         val request = ProxyRequest(null, null, Operation.Run(statement), RequestId("r"), deadlineMillis = 1_000)
@@ -68,8 +74,19 @@
             AttemptCase("served at once", listOf(null), error = null, sends = 1),
             AttemptCase("served by a retry", listOf(ErrorKind.OUTCOME_UNKNOWN, null), error = null, sends = 2),
             AttemptCase("not repeatable", listOf(ErrorKind.OUTCOME_UNKNOWN), ErrorKind.OUTCOME_UNKNOWN, sends = 1, isRepeatable = false),
-            AttemptCase("not sent, then served", listOf(ErrorKind.NO_PRIMARY, ErrorKind.NO_TARGET, null), error = null, sends = 3, isRepeatable = false),
-            AttemptCase("in doubt, then refused", listOf(ErrorKind.OUTCOME_UNKNOWN, ErrorKind.QUEUE_FULL), ErrorKind.OUTCOME_UNKNOWN, sends = 2),
+            AttemptCase(
+                "not sent, then served",
+                listOf(ErrorKind.NO_PRIMARY, ErrorKind.NO_TARGET, null),
+                error = null,
+                sends = 3,
+                isRepeatable = false,
+            ),
+            AttemptCase(
+                "in doubt, then refused",
+                listOf(ErrorKind.OUTCOME_UNKNOWN, ErrorKind.QUEUE_FULL),
+                ErrorKind.OUTCOME_UNKNOWN,
+                sends = 2,
+            ),
             AttemptCase(
                 "in doubt, then not sent, then refused",
                 listOf(ErrorKind.OUTCOME_UNKNOWN, ErrorKind.NO_PRIMARY, ErrorKind.DEADLINE_EXPIRED),
--- a/core/src/test/kotlin/org/buckthornhub/target/owner/HolderChangeTest.kt
+++ b/core/src/test/kotlin/org/buckthornhub/target/owner/HolderChangeTest.kt
@@ -40,7 +40,12 @@
             HolderChangeCase("the first was answered", Faults(), Faults(), ErrorKind.ALREADY_RAN),
             HolderChangeCase("the first ran, its answer was lost", Faults(lostAnswer = 1.0), Faults(), ErrorKind.ALREADY_RAN),
             HolderChangeCase("the first never arrived", Faults(lostRequest = 1.0), Faults(), error = null),
-            HolderChangeCase("the first ran, no second instance had it", Faults(isSecondInstanceSilent = true), Faults(), ErrorKind.ALREADY_RAN),
+            HolderChangeCase(
+                "the first ran, no second instance had it",
+                Faults(isSecondInstanceSilent = true),
+                Faults(),
+                ErrorKind.ALREADY_RAN,
+            ),
             HolderChangeCase("both ran into lost answers", Faults(lostAnswer = 1.0), Faults(lostAnswer = 1.0), ErrorKind.OUTCOME_UNKNOWN),
         )
     }
--- a/daemon/src/main/kotlin/org/buckthornhub/settings/Settings.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/settings/Settings.kt
@@ -1,5 +1,6 @@
 package org.buckthornhub.settings
 
+import org.buckthornhub.control.ControlSettings
 import org.buckthornhub.fleet.VmId
 import org.buckthornhub.fleet.ZoneId
 import org.buckthornhub.session.SessionPolicy
@@ -19,4 +20,5 @@
     val owner: OwnerLimits = OwnerLimits(),
     val sessions: SessionPolicy = SessionPolicy(),
     val fleetSeeds: List<String> = emptyList(),
+    val control: ControlSettings = ControlSettings(),
 )
--- a/daemon/src/main/kotlin/org/buckthornhub/target/TargetAssembly.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/target/TargetAssembly.kt
@@ -9,7 +9,7 @@
 import org.buckthornhub.fleet.FleetView
 import org.buckthornhub.fleet.RendezvousOwnerPolicy
 import org.buckthornhub.fleet.StateSource
-import org.buckthornhub.http.HttpLinks
+import org.buckthornhub.http.HttpLink
 import org.buckthornhub.http.Route
 import org.buckthornhub.lease.HeldLeases
 import org.buckthornhub.organisation.OrganisationId
@@ -35,16 +35,17 @@
     private val view: StateSource<FleetView>,
     private val replicated: StateSource<ReplicatedView>,
     leases: StateSource<HeldLeases>,
+    links: HttpLink.Factory,
 ) {
     // Without a control quorum nothing grants leases; a fleet that has one uses LeaseWriteAuthority alone.
     private val authority = UnleasedGroupAuthority(LeaseWriteAuthority(leases, replicated), replicated, view)
     private val peerAuthority = PeerAuthority(settings.fleetSecret)
-    private val drivers = TargetDriver.Factory { HttpTargetDriver(it, HttpLinks.open(it.address)) }
+    private val drivers = TargetDriver.Factory { HttpTargetDriver(it, links.open(it.address)) }
     private val environment = OwnerEnvironment(settings.vm, clock, view, authority, drivers, replicated) { group, after ->
         samples.samplesOf(group, after)
     }
     private val own = GatewayTask(environment, settings.owner)
-    private val peers = PeerTask(view, HttpLinks, peerAuthority, clock)
+    private val peers = PeerTask(view, links, peerAuthority, clock)
     private val locator = OwnerLocator(settings.vm, view, replicated, RendezvousOwnerPolicy())
     private val samples: SampleSource = OwnedSampleSource(settings.vm, clock, view, replicated, locator, own, peers)
     private val positions = PositionTask(clock, view)
