--- a/daemon/src/main/kotlin/org/buckthornhub/settings/Settings.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/settings/Settings.kt
@@ -5,7 +5,9 @@
 import org.buckthornhub.fleet.ZoneId
 import org.buckthornhub.limit.LimitTiming
 import org.buckthornhub.observe.ObserveOptions
+import org.buckthornhub.session.SessionPolicy
 import org.buckthornhub.shutdown.ShutdownTiming
+import org.buckthornhub.target.owner.OwnerLimits
 
 /** The checked settings of one daemon; see docs/OPERATING.md for the TOML keys. */
 public data class Settings(
@@ -18,6 +20,8 @@
     val defaultDeadlineMillis: Long,
     val maxBodyBytes: Long,
     val logFormat: LogFormat,
+    val owner: OwnerLimits = OwnerLimits(),
+    val sessions: SessionPolicy = SessionPolicy(),
     val fleetSeeds: List<String> = emptyList(),
     val control: ControlSettings = ControlSettings(),
     val limits: LimitTiming = LimitTiming(),
--- a/daemon/src/main/kotlin/org/buckthornhub/settings/SettingsLoader.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/settings/SettingsLoader.kt
@@ -17,6 +17,7 @@
 import org.buckthornhub.control.ControlSettings
 import org.buckthornhub.fleet.VmId
 import org.buckthornhub.fleet.ZoneId
+import org.buckthornhub.session.SessionPolicy
 
 /** Checks the text of a settings file as a whole: the settings, or every fault. */
 public class SettingsLoader {
@@ -94,6 +95,8 @@
         limits = LimitSettings.read(values),
         shutdown = ShutdownSettings.read(values),
         observe = ObserveSettings.read(values),
+        owner = ownerLimits(values),
+        sessions = SessionPolicy(isMonotonic = values.text("session.monotonic_reads") == "yes"),
         fleetSeeds = values.texts("fleet.seeds"),
         control = controlOf(values),
     )
