--- a/core/src/test/kotlin/org/buckthornhub/control/ControlStateMachineTest.kt
+++ b/core/src/test/kotlin/org/buckthornhub/control/ControlStateMachineTest.kt
@@ -65,19 +65,19 @@
         private fun invalid(vararg faults: String) = CommandOutcome.Invalid(faults.toList())
 
         private val wrong = Grant(ratePerSecond = 0.0, burst = 0, groups = setOf(GroupId("")))
-        private val taken = "change a made the list of plans number 1; the next one is 2, not 1"
+        private const val TAKEN = "change a made the list of plans number 1; the next one is 2, not 1"
 
         @JvmStatic
         fun cases(): List<MachineCase> = listOf(
             MachineCase("first list", listOf(plans("a", 1)), CommandOutcome.Accepted(1), 1),
-            MachineCase("rival with an equal number", listOf(plans("a", 1), plans("b", 1)), conflict(taken), 1),
-            MachineCase("identical rival with another id", listOf(plans("a", 1), plans("a2", 1)), conflict(taken), 1),
+            MachineCase("rival with an equal number", listOf(plans("a", 1), plans("b", 1)), conflict(TAKEN), 1),
+            MachineCase("identical rival with another id", listOf(plans("a", 1), plans("a2", 1)), conflict(TAKEN), 1),
             MachineCase("resend", listOf(plans("a", 1), plans("a", 1)), CommandOutcome.Accepted(1), 1),
             MachineCase("resend after a later change", listOf(plans("a", 1), plans("b", 2), plans("a", 1)), CommandOutcome.Accepted(1), 2),
             MachineCase(
                 "resend of the loser",
                 listOf(plans("a", 1), plans("b", 1), plans("c", 2), plans("b", 1)),
-                conflict(taken),
+                conflict(TAKEN),
                 2,
             ),
             MachineCase(
--- a/daemon/src/test/kotlin/org/buckthornhub/settings/SettingsLoaderTest.kt
+++ b/daemon/src/test/kotlin/org/buckthornhub/settings/SettingsLoaderTest.kt
@@ -32,7 +32,8 @@
             SettingsCase("complete", "", emptyList()),
             SettingsCase(
                 "every section",
-                "[limit]\nlease_ms = 5000\nbatch_ms = 100\n[shutdown]\nleave_ms = 0\n[trace]\nsample_percent = 100\n[log]\nformat = \"json\"",
+                "[limit]\nlease_ms = 5000\nbatch_ms = 100\n" +
+                    "[shutdown]\nleave_ms = 0\n[trace]\nsample_percent = 100\n[log]\nformat = \"json\"",
                 emptyList(),
             ),
             SettingsCase(
