Keep the server from stopping by itself on a signal

Conclusion: not yet whole: ownership and membership have no early HandoverStep, so a peer may still forward to the daemon as it stops.

--- a/daemon/src/main/kotlin/org/buckthornhub/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/daemon/Main.kt
@@ -25,6 +25,8 @@
     val settings = load(options.config)
     if (options.check) return println("${options.config}: settings are valid")
     LogSetup.apply(settings.logFormat)
+    // The server would stop at once on a signal; StopSignal stops it when callers have left.
+    System.setProperty("io.ktor.server.engine.ShutdownHook", "false")
     runBlocking {
         coroutineScope {
             StopSignal(settings.shutdown).install(DaemonAssembly(settings, HttpLinks).start(this))
