Grant the first shares at once; start no write while a lease is handed over; say the zone to targets

Change: the leader of control term 1 grants at once; WriteAuthority.termForNewWrite; ZonedLinks; leases.view. UnleasedGroupAuthority now serves only a daemon without control.members: with a quorum, nothing is written unleased.

--- a/core/src/main/kotlin/org/buckthornhub/limit/ShareLedgerDecider.kt
+++ b/core/src/main/kotlin/org/buckthornhub/limit/ShareLedgerDecider.kt
@@ -17,10 +17,14 @@
 ) : Decider<ShareLedger, ShareLedgerMessage, ShareLedgerEffect> {
     override fun decide(state: ShareLedger, message: ShareLedgerMessage, nowMillis: Long): Decision<ShareLedger, ShareLedgerEffect> =
         when (message) {
-            is ShareLedgerMessage.LeadershipBegan -> Decision(ShareLedger(message.controlTerm, message.sinceMillis + leaseMillis + 1))
+            is ShareLedgerMessage.LeadershipBegan -> Decision(ShareLedger(message.controlTerm, freeFromMillis(message)))
             is ShareLedgerMessage.Requested -> requested(state, message, nowMillis)
         }
 
+    // The leader of the first term has no predecessor, so nobody can hold a share yet.
+    private fun freeFromMillis(message: ShareLedgerMessage.LeadershipBegan): Long =
+        if (message.controlTerm == FIRST_CONTROL_TERM) message.sinceMillis else message.sinceMillis + leaseMillis + 1
+
     private fun requested(
         state: ShareLedger,
         message: ShareLedgerMessage.Requested,
@@ -70,5 +74,6 @@
 
     private companion object {
         const val WHOLE = 1_000_000
+        const val FIRST_CONTROL_TERM = 1L
     }
 }
--- a/core/src/main/kotlin/org/buckthornhub/target/owner/CallIntake.kt
+++ b/core/src/main/kotlin/org/buckthornhub/target/owner/CallIntake.kt
@@ -25,7 +25,7 @@
 private fun OwnerState.submittedOutside(ticket: Long, call: TargetCall, context: OwnerContext): OwnerStep {
     if (entry.leaving) return refused(ticket, ErrorKind.NO_TARGET, "target ${entry.target} is leaving")
     if (needsLease(call.operation)) {
-        if (context.leaseTerm == null) return refused(ticket, ErrorKind.NO_PRIMARY, "no lease is held for group ${entry.group}")
+        if (context.newWriteTerm == null) return refused(ticket, ErrorKind.NO_PRIMARY, "no lease is held for group ${entry.group}")
         return queued(ticket, context)
     }
     val fetched = fetchingSamples(call, context)
--- a/core/src/main/kotlin/org/buckthornhub/target/owner/LeaseWriteAuthority.kt
+++ b/core/src/main/kotlin/org/buckthornhub/target/owner/LeaseWriteAuthority.kt
@@ -11,8 +11,14 @@
     private val leases: StateSource<HeldLeases>,
     private val replicated: StateSource<ReplicatedView>,
 ) : WriteAuthority {
-    override fun termOf(target: TargetEntry, nowMillis: Long): Term? {
-        val leadership = replicated.current().state.leaderships[target.group] ?: return null
-        return leases.current().termOf(target.group, nowMillis)?.takeIf { it == leadership.term && target.target == leadership.primary }
+    override fun termOf(target: TargetEntry, nowMillis: Long): Term? =
+        leases.current().termOf(target.group, nowMillis)?.takeIf { isCommitted(it, target) }
+
+    override fun termForNewWrite(target: TargetEntry, nowMillis: Long): Term? =
+        leases.current().termForNewWrite(target.group, nowMillis)?.takeIf { isCommitted(it, target) }
+
+    private fun isCommitted(term: Term, target: TargetEntry): Boolean {
+        val leadership = replicated.current().state.leaderships[target.group] ?: return false
+        return leadership.term == term && leadership.primary == target.target
     }
 }
--- a/core/src/main/kotlin/org/buckthornhub/target/owner/OwnerContext.kt
+++ b/core/src/main/kotlin/org/buckthornhub/target/owner/OwnerContext.kt
@@ -7,6 +7,7 @@
 internal data class OwnerContext(
     val nowMillis: Long,
     val leaseTerm: Term?,
+    val newWriteTerm: Term?,
     val history: History,
     val limits: OwnerLimits,
 )
--- a/core/src/main/kotlin/org/buckthornhub/target/owner/OwnerDecider.kt
+++ b/core/src/main/kotlin/org/buckthornhub/target/owner/OwnerDecider.kt
@@ -13,7 +13,7 @@
 /** Decides for the owner of one target: slots, queue, transactions, writes under the lease, and repeats. */
 public class OwnerDecider(private val limits: OwnerLimits) : Decider<OwnerState, OwnerInput, OwnerEffect> {
     override fun decide(state: OwnerState, message: OwnerInput, nowMillis: Long): Decision<OwnerState, OwnerEffect> {
-        val context = OwnerContext(nowMillis, message.leaseTerm, History(message.leadership), limits)
+        val context = OwnerContext(nowMillis, message.leaseTerm, message.newWriteTerm, History(message.leadership), limits)
         return state.handled(message.message, context)
     }
 
--- a/core/src/main/kotlin/org/buckthornhub/target/owner/Scheduling.kt
+++ b/core/src/main/kotlin/org/buckthornhub/target/owner/Scheduling.kt
@@ -17,7 +17,7 @@
     val pending = calls[ticket] ?: return unchanged()
     val call = pending.call
     if (context.nowMillis >= call.deadlineMillis) return refused(ticket, ErrorKind.DEADLINE_EXPIRED, "the deadline passed in the queue")
-    if (needsLease(call.operation) && context.leaseTerm == null) {
+    if (needsLease(call.operation) && context.newWriteTerm == null) {
         return refused(ticket, ErrorKind.NO_PRIMARY, "the lease of group ${entry.group} ended in the queue")
     }
     return copy(pool = pool.inState(slot, ConnectionState.Busy(ticket))).sentOn(slot, ticket, context)
--- a/core/src/main/kotlin/org/buckthornhub/target/owner/Transactions.kt
+++ b/core/src/main/kotlin/org/buckthornhub/target/owner/Transactions.kt
@@ -59,7 +59,7 @@
         val free = copy(transactions = transactions.put(id, transaction))
         return free.refused(ticket, ErrorKind.DEADLINE_EXPIRED, "the deadline passed before its turn").then { it.continued(id, context) }
     }
-    if (call.operation is Operation.Commit && context.leaseTerm == null) return rolledBackFor(ticket, id, transaction, context)
+    if (call.operation is Operation.Commit && context.newWriteTerm == null) return rolledBackFor(ticket, id, transaction, context)
     val running = transaction.copy(running = ticket, usedMillis = context.nowMillis)
     return copy(transactions = transactions.put(id, running)).sentOn(transaction.slot, ticket, context)
 }
--- a/daemon/src/main/kotlin/org/buckthornhub/daemon/DaemonAssembly.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/daemon/DaemonAssembly.kt
@@ -22,6 +22,7 @@
 import org.buckthornhub.organisation.KeyRecord
 import org.buckthornhub.organisation.OperatorAuthority
 import org.buckthornhub.peer.PeerAuthority
+import org.buckthornhub.peer.ZonedLinks
 import org.buckthornhub.platform.PlatformRoutes
 import org.buckthornhub.proxy.Interceptor
 import org.buckthornhub.proxy.Proxy
@@ -34,11 +35,12 @@
 import org.buckthornhub.shutdown.ShutdownTask
 import org.buckthornhub.target.TargetAssembly
 
-/** Builds the tasks of one daemon and connects them; every connection to another process comes from [links]. */
+/** Builds the tasks of one daemon and connects them; every connection to another process comes from [network]. */
 internal class DaemonAssembly(
     private val settings: Settings,
-    links: HttpLink.Factory,
+    network: HttpLink.Factory,
 ) {
+    private val links = ZonedLinks(network, settings.zone)
     private val clock = SystemClock
     private val sessionCodec = SessionCodec(settings.fleetSecret)
     private val authority = PeerAuthority(settings.fleetSecret)
@@ -59,7 +61,7 @@
             leaderOnly = { handler -> control.log?.let { LeaderGuard(it.leadership).guard(handler) } ?: handler },
         )
     private val limits = LimitAssembly(settings, control, fleet.view, links, clock)
-    private val targets: TargetAssembly = TargetAssembly(settings, clock, fleet.view, control.view, leases.leases, links)
+    private val targets: TargetAssembly = TargetAssembly(settings, clock, fleet.view, leases.view, leases.leases, links)
     private val shutdown =
         ShutdownTask(
             timing = settings.shutdown,
--- a/daemon/src/main/kotlin/org/buckthornhub/target/TargetAssembly.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/target/TargetAssembly.kt
@@ -27,6 +27,7 @@
 import org.buckthornhub.target.owner.LeaseWriteAuthority
 import org.buckthornhub.target.owner.OwnerLocator
 import org.buckthornhub.target.owner.UnleasedGroupAuthority
+import org.buckthornhub.target.owner.WriteAuthority
 
 /** Builds the owners of targets in one daemon, and the way to owners in the others. */
 internal class TargetAssembly(
@@ -37,8 +38,9 @@
     leases: StateSource<HeldLeases>,
     links: HttpLink.Factory,
 ) {
-    // Without a control quorum nothing grants leases; a fleet that has one uses LeaseWriteAuthority alone.
-    private val authority = UnleasedGroupAuthority(LeaseWriteAuthority(leases, replicated), replicated, view)
+    // Without a control quorum nothing grants leases.
+    private val authority: WriteAuthority =
+        if (settings.control.members.isEmpty()) UnleasedGroupAuthority(view) else LeaseWriteAuthority(leases, replicated)
     private val peerAuthority = PeerAuthority(settings.fleetSecret)
     private val drivers = TargetDriver.Factory { HttpTargetDriver(it, links.open(it.address)) }
     private val environment = OwnerEnvironment(settings.vm, clock, view, authority, drivers, replicated) { group, after ->
--- a/daemon/src/main/kotlin/org/buckthornhub/target/TargetTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/target/TargetTask.kt
@@ -73,7 +73,14 @@
 
     private fun decide(message: OwnerMessage) {
         val now = environment.clock.nowMillis()
-        val input = OwnerInput(message, environment.authority.termOf(state.entry, now), environment.leadershipOf(state.entry.group))
+        val authority = environment.authority
+        val input =
+            OwnerInput(
+                message = message,
+                leaseTerm = authority.termOf(state.entry, now),
+                leadership = environment.leadershipOf(state.entry.group),
+                newWriteTerm = authority.termForNewWrite(state.entry, now),
+            )
         val decision = decider.decide(state, input, now)
         state = decision.state
         decision.effects.forEach { carryOut(it) }
