Let a share that nobody held mint until it is granted; a mixed commit counts as lost as well

Cause: a new holder of a share began with an empty bucket, also where nobody had drawn from that share for long, so a burst after a pause was refused though it was inside the organisation's right. Weighed: keeping leases of idle organisations (a message per organisation and lease for ever), and telling the holder how long the share lay unheld. Change: the ledger remembers per zone when its share was last in anyone's hands and says so with a new lease; the holder begins with what was minted since, less the drift. Shares count by zone only while all have one size and a place of their own; otherwise from the end of the last old lease. FindingsTest: since writes are told apart by value, a commit whose statement another one replaced is counted as lost too; the case expects both, which is stricter than before.

--- a/core/src/main/kotlin/org/buckthornhub/limit/ShareHolderDecider.kt
+++ b/core/src/main/kotlin/org/buckthornhub/limit/ShareHolderDecider.kt
@@ -10,7 +10,7 @@
  * Mints a zone's shares and moves tokens out in batches.
  *
  * A batch counts against the burst until it is settled or expired, and expires with the lease at the latest; so a new
- * holder, which starts with an empty bucket after the lease, never adds to tokens that are still in other hands.
+ * holder, which starts after the lease with what was minted since, never adds to tokens that are still in other hands.
  */
 public class ShareHolderDecider(private val timing: LimitTiming) : Decider<ShareHolderState, ShareHolderMessage, ShareHolderEffect> {
     override fun decide(
@@ -30,7 +30,7 @@
         val part = message.whole.part(message.partsPerMillion)
         val share =
             if (held == null || held.validUntilMillis <= nowMillis) {
-                HeldShare(message.whole, message.partsPerMillion, message.askedMillis, validUntilMillis, TokenBucket(part, nowMillis))
+                HeldShare(message.whole, message.partsPerMillion, message.askedMillis, validUntilMillis, bucketOf(part, message, nowMillis))
             } else {
                 val current = held.at(nowMillis)
                 current.copy(
@@ -44,6 +44,12 @@
         return state.copy(shares = state.shares.put(message.organisation, share))
     }
 
+    // The share minted while nobody held it, as a bucket that no one drew from would have.
+    private fun bucketOf(part: RateLimit, message: ShareHolderMessage.Leased, nowMillis: Long): TokenBucket {
+        val unheldMillis = timing.lessDrift(message.unheldMillis).coerceAtLeast(0)
+        return TokenBucket(part, nowMillis - unheldMillis).mintedAt(nowMillis)
+    }
+
     private fun relimited(state: ShareHolderState, message: ShareHolderMessage.Relimited, nowMillis: Long): ShareHolderState {
         val kept =
             state.shares
--- a/core/src/main/kotlin/org/buckthornhub/limit/ShareHolderMessage.kt
+++ b/core/src/main/kotlin/org/buckthornhub/limit/ShareHolderMessage.kt
@@ -7,6 +7,7 @@
     /**
      * The control leader leased a share, or renewed it.
      *
+     * @property unheldMillis for how long the share was in nobody's hands before, on the leader's clock
      * @property askedMillis local monotonic time before the request was sent
      */
     public data class Leased(
@@ -15,6 +16,7 @@
         val partsPerMillion: Int,
         val askedMillis: Long,
         val leaseMillis: Long,
+        val unheldMillis: Long = 0,
     ) : ShareHolderMessage
 
     /** The lists changed; an organisation that is missing has no limit any more and gets nothing. */
--- a/core/src/main/kotlin/org/buckthornhub/limit/ShareLedgerDecider.kt
+++ b/core/src/main/kotlin/org/buckthornhub/limit/ShareLedgerDecider.kt
@@ -17,13 +17,16 @@
 ) : Decider<ShareLedger, ShareLedgerMessage, ShareLedgerEffect> {
     override fun decide(state: ShareLedger, message: ShareLedgerMessage, nowMillis: Long): Decision<ShareLedger, ShareLedgerEffect> =
         when (message) {
-            is ShareLedgerMessage.LeadershipBegan -> Decision(ShareLedger(message.controlTerm, freeFromMillis(message)))
+            is ShareLedgerMessage.LeadershipBegan -> Decision(began(message))
             is ShareLedgerMessage.Requested -> requested(state, message, nowMillis)
         }
 
-    // The leader of the first term has no predecessor, so nobody can hold a share yet.
-    private fun freeFromMillis(message: ShareLedgerMessage.LeadershipBegan): Long =
-        if (message.controlTerm == FIRST_CONTROL_TERM) message.sinceMillis else message.sinceMillis + leaseMillis + 1
+    // The leader of the first term has no predecessor, so nobody can ever have held a share.
+    private fun began(message: ShareLedgerMessage.LeadershipBegan): ShareLedger {
+        val freeFromMillis = message.sinceMillis + leaseMillis + 1
+        if (message.controlTerm != FIRST_CONTROL_TERM) return ShareLedger(message.controlTerm, freeFromMillis)
+        return ShareLedger(message.controlTerm, message.sinceMillis, message.sinceMillis - RateLimit.NEVER_MILLIS)
+    }
 
     private fun requested(
         state: ShareLedger,
@@ -53,9 +56,14 @@
         val parts = partsFor(shares, claim, message, nowMillis < ledger.freeFromMillis, nowMillis)
         if (parts <= 0) return ledger.copy(shares = ledger.shares.put(claim.organisation, shares)) to reply
         val lease = GrantedShare(request.holder, parts, request.askedMillis, nowMillis + leaseMillis + 1)
-        val leased = shares.copy(leases = shares.leases.put(request.zone, shares.leasesOf(request.zone, nowMillis).add(lease)))
+        val isNew = shares.leasesOf(request.zone, nowMillis).isEmpty()
+        val unheldMillis = if (isNew) shares.unheldMillis(request.zone, parts, ledger.unheldSinceMillis, nowMillis) else 0
+        val leased = shares.granted(request.zone, lease, ledger.unheldSinceMillis, nowMillis)
         return ledger.copy(shares = ledger.shares.put(claim.organisation, leased)) to
-            reply.copy(partsPerMillion = reply.partsPerMillion + (claim.organisation to parts))
+            reply.copy(
+                partsPerMillion = reply.partsPerMillion + (claim.organisation to parts),
+                unheldMillis = if (unheldMillis > 0) reply.unheldMillis + (claim.organisation to unheldMillis) else reply.unheldMillis,
+            )
     }
 
     private fun partsFor(
--- a/core/src/test/kotlin/org/buckthornhub/limit/LedgerStep.kt
+++ b/core/src/test/kotlin/org/buckthornhub/limit/LedgerStep.kt
@@ -8,6 +8,7 @@
  * One claim at the ledger and the parts that it has to get.
  *
  * @property atMillis time of the leader
+ * @property unheldMillis for how long the share has to be told to have been unheld; null if the case is not about it
  */
 internal data class LedgerStep(
     val atMillis: Long,
@@ -19,6 +20,7 @@
     val held: Int = 0,
     val heldAskedMillis: Long = 0,
     val zones: Set<String> = setOf("a", "b"),
+    val unheldMillis: Long? = null,
 ) {
     fun message(): ShareLedgerMessage.Requested {
         val claim = ShareClaim(LEDGER_ORGANISATION, held, heldAskedMillis)
--- a/core/src/test/kotlin/org/buckthornhub/limit/ShareLedgerDeciderTest.kt
+++ b/core/src/test/kotlin/org/buckthornhub/limit/ShareLedgerDeciderTest.kt
@@ -15,6 +15,8 @@
             val decision = decider.decide(ledger, step.message(), step.atMillis)
             val reply = decision.effects.single() as ShareLedgerEffect.Reply
             assertEquals(step.parts, reply.reply.partsPerMillion[LedgerStep.LEDGER_ORGANISATION] ?: 0, "step $index: $step")
+            val unheldMillis = reply.reply.unheldMillis[LedgerStep.LEDGER_ORGANISATION] ?: 0
+            assertEquals(step.unheldMillis ?: unheldMillis, unheldMillis, "step $index: $step")
             decision.state
         }
     }
@@ -60,6 +62,31 @@
                     LedgerStep(3_120, "c", THIRD, zones = setOf("a", "b", "c")),
                 ),
             ),
+            LedgerCase(
+                "a share that nobody held has minted since the last lease of an earlier leader ended",
+                listOf(LedgerStep(1_501, "a", HALF, unheldMillis = 500), LedgerStep(1_600, "a", HALF, unheldMillis = 0)),
+            ),
+            LedgerCase(
+                "a share that came back has minted since its own lease ended",
+                listOf(
+                    LedgerStep(2_000, "a", HALF),
+                    LedgerStep(2_000, "b", HALF),
+                    LedgerStep(4_000, "a", HALF, vm = "other", unheldMillis = 999),
+                ),
+            ),
+            LedgerCase(
+                "a zone that takes the place of another has minted nothing that the other may have spent",
+                listOf(
+                    LedgerStep(2_000, "a", HALF),
+                    LedgerStep(2_000, "b", HALF),
+                    LedgerStep(3_100, "c", HALF, zones = setOf("b", "c"), unheldMillis = 99),
+                    LedgerStep(3_200, "b", HALF, zones = setOf("b", "c"), unheldMillis = 199),
+                ),
+            ),
+            LedgerCase(
+                "a share of another size has minted since the last lease of the old size ended",
+                listOf(LedgerStep(2_000, "a", HALF), LedgerStep(3_301, "a", THIRD, zones = setOf("a", "b", "c"), unheldMillis = 300)),
+            ),
         )
     }
 }
--- a/core/src/test/kotlin/org/buckthornhub/limit/SimulatedDaemon.kt
+++ b/core/src/test/kotlin/org/buckthornhub/limit/SimulatedDaemon.kt
@@ -78,7 +78,16 @@
         controlTerm = maxOf(controlTerm, reply.controlTerm)
         reply.partsPerMillion.forEach { (organisation, parts) ->
             val whole = fleet.limits.getValue(organisation)
-            onHolder(ShareHolderMessage.Leased(organisation, whole, parts, request.askedMillis, reply.leaseMillis))
+            onHolder(
+                ShareHolderMessage.Leased(
+                    organisation,
+                    whole,
+                    parts,
+                    request.askedMillis,
+                    reply.leaseMillis,
+                    reply.unheldMillis[organisation] ?: 0,
+                ),
+            )
         }
     }
 
--- a/daemon/src/main/kotlin/org/buckthornhub/limit/ShareHolderTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/limit/ShareHolderTask.kt
@@ -77,7 +77,14 @@
             val whole = limits[organisation]
             if (whole != null) {
                 decide(
-                    ShareHolderMessage.Leased(organisation, whole, parts, message.request.askedMillis, message.reply.leaseMillis),
+                    ShareHolderMessage.Leased(
+                        organisation = organisation,
+                        whole = whole,
+                        partsPerMillion = parts,
+                        askedMillis = message.request.askedMillis,
+                        leaseMillis = message.reply.leaseMillis,
+                        unheldMillis = message.reply.unheldMillis[organisation] ?: 0,
+                    ),
                 )
             }
         }
--- a/load/src/test/kotlin/org/buckthornhub/load/check/FindingsTest.kt
+++ b/load/src/test/kotlin/org/buckthornhub/load/check/FindingsTest.kt
@@ -128,6 +128,7 @@
                     "a commit holds a statement of another transaction",
                     transaction(1),
                     listOf(logOf(listOf("r1" to "append org/t/0 org/t.1"))),
+                    lostWrites = 1,
                     mixedTransactions = 1,
                 ),
             )
