--- a/core/src/main/kotlin/org/buckthornhub/limit/LimitTiming.kt
+++ b/core/src/main/kotlin/org/buckthornhub/limit/LimitTiming.kt
@@ -11,7 +11,7 @@
 public data class LimitTiming(
     val leaseMillis: Long = 10_000,
     val batchMillis: Long = 200,
-    val maxWaitMillis: Long = 20,
+    val maxWaitMillis: Long = 250,
     val driftPartsPerMillion: Int = 500,
 ) {
     /** [millis] on a clock that may be slow, less the margin that makes it safe against a fast one. */
--- a/core/src/main/kotlin/org/buckthornhub/limit/TokenClientDecider.kt
+++ b/core/src/main/kotlin/org/buckthornhub/limit/TokenClientDecider.kt
@@ -131,7 +131,7 @@
         /** Time between two ticks while a purse is in use. */
         public const val TICK_MILLIS: Long = 5
         private const val MILLIS_PER_SECOND = 1_000L
-        private const val ASK_TIMEOUT_MILLIS = 50L
+        private const val ASK_TIMEOUT_MILLIS = 200L
         private const val SETTLE_MILLIS = 20L
     }
 }
--- a/daemon/src/test/kotlin/org/buckthornhub/limit/LimitFleet.kt
+++ b/daemon/src/test/kotlin/org/buckthornhub/limit/LimitFleet.kt
@@ -23,6 +23,8 @@
 
 /** Four daemons in two zones with their limit tasks; the first is the control leader. */
 internal class LimitFleet(private val clock: Clock) {
+    // Shorter than a token takes to be minted, so that what is admitted at once is what the buckets held.
+    private val timing = LimitTiming(maxWaitMillis = 20)
     val grant = Grant(ratePerSecond = 10.0, burst = 20, groups = emptySet())
     val log = FakeControlLog()
     val links = LoopbackLinks()
@@ -38,7 +40,7 @@
     val assemblies: List<LimitAssembly> =
         entries.mapIndexed { index, entry ->
             val environment =
-                LimitEnvironment(entry.vm, entry.zone, index.toLong(), LimitTiming(), StateSource { configuration }, { view })
+                LimitEnvironment(entry.vm, entry.zone, index.toLong(), timing, StateSource { configuration }, { view })
             LimitAssembly(environment, control, log.takeIf { index == 0 }, links, authority, clock)
         }
 
