--- a/cli/src/main/kotlin/org/buckthornhub/cli/explain/ExplainCommand.kt
+++ b/cli/src/main/kotlin/org/buckthornhub/cli/explain/ExplainCommand.kt
@@ -1,23 +1,12 @@
 package org.buckthornhub.cli.explain
 
-import com.github.michaelbull.result.mapBoth
-import org.buckthornhub.cli.Command
-import org.buckthornhub.cli.ExitCode
+import org.buckthornhub.cli.operator.OperatorCommand
 import org.buckthornhub.explain.ExplainAnswer
-import org.buckthornhub.http.HttpLinks
-import org.buckthornhub.http.HttpReply
-import org.buckthornhub.http.PeerJson
 import org.kohsuke.args4j.Option
 import java.net.URLEncoder
 
 /** `buckthornhub explain`: says why requests went where they did, why one was refused, and what happened to a group. */
-internal class ExplainCommand : Command {
-    @Option(name = "--daemon", required = true, metaVar = "HOST:PORT", usage = "the daemon that the request came in at")
-    var daemon: String = ""
-
-    @Option(name = "--operator-secret", required = true, metaVar = "SECRET", usage = "operator.secret of the fleet")
-    var operatorSecret: String = ""
-
+internal class ExplainCommand : OperatorCommand() {
     @Option(name = "--trace", metaVar = "ID", usage = "trace id from the answer to the request")
     var trace: String? = null
 
@@ -27,35 +16,20 @@
     @Option(name = "--organisation", metaVar = "NAME", usage = "requests of an organisation that failed")
     var organisation: String? = null
 
-    @Option(name = "--json", usage = "print the answer as JSON")
-    var json: Boolean = false
-
-    override suspend fun run(): Int {
-        val headers = mapOf("Authorization" to "Bearer $operatorSecret")
-        val result = HttpLinks.open(daemon).use { it.get("/v1/operator/explain?${query()}", TIMEOUT_MILLIS, headers) }
-        return result.mapBoth(
-            success = { show(it) },
-            failure = {
-                System.err.println("buckthornhub: ${it.detail}")
-                ExitCode.UNREACHABLE.code
-            },
-        )
+    override val explanation: String = """
+        buckthornhub explain --trace ID --daemon HOST:PORT
+        buckthornhub explain --group NAME --daemon HOST:PORT
+        buckthornhub explain --organisation NAME --daemon HOST:PORT
+
+        Says where a request went and why, what it waited for, and why an organisation was refused. Ask the daemon
+        that the request came in at: each daemon remembers its newest requests only (explain.records).
+    """
+
+    override suspend fun act(): Int = report(client.show("explain?${query()}")) { body ->
+        ExplainText.linesOf(client.decode(ExplainAnswer.serializer(), body)).joinToString("\n")
     }
 
     private fun query(): String = listOf("trace" to trace, "group" to group, "organisation" to organisation)
         .mapNotNull { (name, value) -> value?.let { "$name=${URLEncoder.encode(it, Charsets.UTF_8)}" } }
         .joinToString("&")
-
-    private fun show(reply: HttpReply): Int {
-        if (!reply.isSuccess || json) {
-            println(reply.body)
-            return if (reply.isSuccess) ExitCode.DONE.code else ExitCode.REFUSED.code
-        }
-        ExplainText.linesOf(PeerJson.decodeFromString(ExplainAnswer.serializer(), reply.body)).forEach { println(it) }
-        return ExitCode.DONE.code
-    }
-
-    private companion object {
-        const val TIMEOUT_MILLIS = 10_000L
-    }
 }
