--- a/daemon/src/main/kotlin/org/buckthornhub/fleet/GossipRoutes.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/fleet/GossipRoutes.kt
@@ -3,17 +3,15 @@
 import com.github.michaelbull.result.get
 import io.ktor.http.HttpMethod
 import kotlinx.coroutines.CompletableDeferred
-import kotlinx.serialization.KSerializer
-import kotlinx.serialization.SerializationException
 import org.buckthornhub.caller.errorReply
 import org.buckthornhub.error.ErrorKind
 import org.buckthornhub.error.ProxyError
 import org.buckthornhub.http.HttpLink
 import org.buckthornhub.http.HttpReply
-import org.buckthornhub.http.HttpRequest
 import org.buckthornhub.http.PeerJson
 import org.buckthornhub.http.Route
 import org.buckthornhub.peer.PeerAuthority
+import org.buckthornhub.peer.withPeerBody
 import org.buckthornhub.task.Mailbox
 
 /** Takes the probes of other daemons, and passes on those for daemons that they can't reach. */
@@ -23,8 +21,8 @@
     private val links: HttpLink.Factory,
 ) {
     fun routes(): List<Route> = listOf(
-        Route(HttpMethod.Post, PROBE_PATH, authority.guard { request -> withBody(request, GossipBody.serializer()) { probed(it) } }),
-        Route(HttpMethod.Post, RELAY_PATH, authority.guard { request -> withBody(request, RelayBody.serializer()) { relay(it) } }),
+        Route(HttpMethod.Post, PROBE_PATH, authority.guard { request -> withPeerBody(request, GossipBody.serializer()) { probed(it) } }),
+        Route(HttpMethod.Post, RELAY_PATH, authority.guard { request -> withPeerBody(request, RelayBody.serializer()) { relay(it) } }),
     )
 
     private suspend fun probed(body: GossipBody): HttpReply {
@@ -38,16 +36,6 @@
         link.post(PROBE_PATH, probe, TIMEOUT_MILLIS, authority.headers()).get() ?: unavailable
     }
 
-    private suspend fun <T> withBody(request: HttpRequest, serializer: KSerializer<T>, action: suspend (T) -> HttpReply): HttpReply {
-        val body =
-            try {
-                PeerJson.decodeFromString(serializer, request.body)
-            } catch (e: SerializationException) {
-                return errorReply(ProxyError(ErrorKind.MALFORMED_REQUEST, e.message.orEmpty().lineSequence().first()))
-            }
-        return action(body)
-    }
-
     companion object {
         const val PROBE_PATH = "/internal/gossip"
         const val RELAY_PATH = "/internal/gossip/relay"
--- a/daemon/src/main/kotlin/org/buckthornhub/lease/LeaseRoutes.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/lease/LeaseRoutes.kt
@@ -4,18 +4,16 @@
 import com.github.michaelbull.result.mapBoth
 import io.ktor.http.HttpMethod
 import kotlinx.coroutines.CompletableDeferred
-import kotlinx.serialization.KSerializer
-import kotlinx.serialization.SerializationException
 import org.buckthornhub.caller.errorReply
 import org.buckthornhub.error.ErrorKind
 import org.buckthornhub.error.ProxyError
 import org.buckthornhub.group.GroupLeadership
 import org.buckthornhub.http.HttpReply
-import org.buckthornhub.http.HttpRequest
 import org.buckthornhub.http.PeerJson
 import org.buckthornhub.http.Route
 import org.buckthornhub.http.RouteHandler
 import org.buckthornhub.peer.PeerAuthority
+import org.buckthornhub.peer.withPeerBody
 import org.buckthornhub.promotion.PendingRenewal
 import org.buckthornhub.promotion.PromotionTaskMessage
 import org.buckthornhub.task.Mailbox
@@ -33,9 +31,15 @@
     private val leaderOnly: (RouteHandler) -> RouteHandler,
 ) {
     fun routes(): List<Route> = listOfNotNull(
-        Route(HttpMethod.Post, OFFER_PATH, authority.guard { request -> withBody(request, GroupLeadership.serializer()) { offered(it) } }),
+        Route(
+            HttpMethod.Post,
+            OFFER_PATH,
+            authority.guard { request ->
+                withPeerBody(request, GroupLeadership.serializer()) { offered(it) }
+            },
+        ),
         leader?.let { mailbox ->
-            val renew = RouteHandler { request -> withBody(request, RenewRequest.serializer()) { renew(mailbox, it) } }
+            val renew = RouteHandler { request -> withPeerBody(request, RenewRequest.serializer()) { renew(mailbox, it) } }
             Route(HttpMethod.Post, RENEW_PATH, authority.guard(leaderOnly(renew)))
         },
     )
@@ -54,16 +58,6 @@
         )
     }
 
-    private suspend fun <T> withBody(request: HttpRequest, serializer: KSerializer<T>, action: suspend (T) -> HttpReply): HttpReply {
-        val body =
-            try {
-                PeerJson.decodeFromString(serializer, request.body)
-            } catch (e: SerializationException) {
-                return errorReply(ProxyError(ErrorKind.MALFORMED_REQUEST, e.message.orEmpty().lineSequence().first()))
-            }
-        return action(body)
-    }
-
     companion object {
         const val RENEW_PATH = "/internal/lease/renew"
         const val OFFER_PATH = "/internal/lease/offer"
