Decide for sessions on connections, shared pools, commit horizons, failover and an open quorum

Cause: the product served single HTTP requests through one owner a target. Sessions that stay on a connection, with values, prepared names and transactions of many statements, had no place in it; neither had route tables of which the highest version wins, read floors known to cover every commit of an age, promotion through an outside order, or control VMs that are only found through introducers.

Change: deciders without I/O in core (connection, horizon, instancepool, directory, quota, failover, coordination, routetable), each with a table of cases or a random schedule; the replicated log takes VMs that stand by, and puts one in the place of a member that is silent. Only founders count towards the first quorum.

Ruled out: a second log for route tables, as one state machine keeps one order of changes.

--- a/core/src/main/kotlin/org/buckthornhub/control/ControlCommand.kt
+++ b/core/src/main/kotlin/org/buckthornhub/control/ControlCommand.kt
@@ -8,6 +8,7 @@
 import org.buckthornhub.organisation.KeyDigest
 import org.buckthornhub.organisation.OrganisationId
 import org.buckthornhub.organisation.PlanList
+import org.buckthornhub.routetable.StoredRouteTable
 
 /** The closed list of entries in the log of the control quorum. */
 @Serializable
@@ -43,6 +44,11 @@
     @SerialName("withdraw-key")
     public data class WithdrawKey(val keyName: String) : ControlCommand
 
+    /** Puts [stored] in force if its version is the highest so far; changes nothing otherwise. */
+    @Serializable
+    @SerialName("replace-route-table")
+    public data class ReplaceRouteTable(val stored: StoredRouteTable) : ControlCommand
+
     /** Sets who leads a group, if its term is still [expected]. */
     @Serializable
     @SerialName("set-leadership")
--- a/core/src/main/kotlin/org/buckthornhub/control/ControlDelta.kt
+++ b/core/src/main/kotlin/org/buckthornhub/control/ControlDelta.kt
@@ -8,6 +8,7 @@
 import org.buckthornhub.organisation.KeyRecord
 import org.buckthornhub.organisation.OrganisationId
 import org.buckthornhub.organisation.PlanId
+import org.buckthornhub.routetable.StoredRouteTable
 
 /** What changed in the control state from revision [from] to revision [to]. Keys and leaderships are never removed. */
 @Serializable
@@ -23,4 +24,5 @@
     val openGroups: Set<GroupId>? = null,
     val keys: Map<KeyDigest, KeyRecord> = emptyMap(),
     val leaderships: Map<GroupId, GroupLeadership> = emptyMap(),
+    val routeTable: StoredRouteTable? = null,
 )
--- a/core/src/main/kotlin/org/buckthornhub/control/ControlDeltas.kt
+++ b/core/src/main/kotlin/org/buckthornhub/control/ControlDeltas.kt
@@ -19,6 +19,7 @@
             openGroups = after.grants.openGroups.takeIf { it != before.grants.openGroups },
             keys = changed(before.keys, after.keys),
             leaderships = changed(old.leaderships, new.leaderships),
+            routeTable = new.routeTable.takeIf { it != old.routeTable },
         )
     }
 
@@ -38,6 +39,7 @@
         return ControlState(
             configuration = Configuration(delta.to, plans, grants, current.keys + delta.keys),
             leaderships = state.leaderships + delta.leaderships,
+            routeTable = delta.routeTable ?: state.routeTable,
         )
     }
 
--- a/core/src/main/kotlin/org/buckthornhub/control/ControlStateMachine.kt
+++ b/core/src/main/kotlin/org/buckthornhub/control/ControlStateMachine.kt
@@ -21,6 +21,7 @@
             }
         }
         is ControlCommand.WithdrawKey -> withdrawKey(state, command)
+        is ControlCommand.ReplaceRouteTable -> replaceRouteTable(state, command)
         is ControlCommand.SetLeadership -> setLeadership(state, command)
         is ControlCommand.NoOp -> state to CommandOutcome.Accepted(state.control.revision)
     }
@@ -89,6 +90,13 @@
         return accept(state, current.copy(keys = current.keys + (digest to record.copy(withdrawn = true))))
     }
 
+    private fun replaceRouteTable(state: MachineState, command: ControlCommand.ReplaceRouteTable): Pair<MachineState, CommandOutcome> {
+        val current = state.control.routeTable?.table
+        val isOvertaken = current != null && command.stored.table.version <= current.version
+        if (isOvertaken) return state to CommandOutcome.Accepted(state.control.revision)
+        return accept(state.copy(control = state.control.copy(routeTable = command.stored)), state.control.configuration)
+    }
+
     private fun setLeadership(state: MachineState, command: ControlCommand.SetLeadership): Pair<MachineState, CommandOutcome> {
         val leadership = command.leadership
         val current = state.control.leaderships[leadership.group]
--- /dev/null
+++ b/core/src/main/kotlin/org/buckthornhub/instancepool/PoolDecider.kt
@@ -0,0 +1,167 @@
+package org.buckthornhub.instancepool
+
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentList
+import kotlinx.collections.immutable.toPersistentMap
+import org.buckthornhub.connection.TargetConnectionState
+import org.buckthornhub.decision.Decider
+import org.buckthornhub.decision.Decision
+import org.buckthornhub.decision.then
+import org.buckthornhub.directory.InstanceRecord
+import org.buckthornhub.group.GroupId
+import org.buckthornhub.group.Position
+import org.buckthornhub.horizon.CommitHorizon
+import org.buckthornhub.organisation.OrganisationId
+import org.buckthornhub.target.TargetRole
+
+/** Shares the connections of one daemon among its sessions, within the limit that the fleet sets for each instance. */
+public class PoolDecider(private val settings: PoolSettings) : Decider<PoolState, PoolMessage, PoolEffect> {
+    private val cost = InstanceCost(settings)
+
+    override fun decide(state: PoolState, message: PoolMessage, nowMillis: Long): Decision<PoolState, PoolEffect> = when (message) {
+        is PoolMessage.Acquire -> serve(state.copy(waiting = state.waiting.add(message.waiting)), nowMillis)
+        is PoolMessage.GiveUp -> Decision(state.copy(waiting = state.waiting.removeAll { it.token == message.token }))
+        is PoolMessage.Returned -> returned(state, message, nowMillis).then { serve(it, nowMillis) }
+        is PoolMessage.Opened -> opened(state, message, nowMillis).then { serve(it, nowMillis) }
+        is PoolMessage.OpenFailed -> serve(openFailed(state, message, nowMillis), nowMillis)
+        is PoolMessage.Closed -> serve(closed(state, message), nowMillis)
+        is PoolMessage.Demoted -> Decision(state.update(message.target) { copy(isDemoted = true) })
+        is PoolMessage.Directory -> directory(state, message.records, nowMillis).then { serve(it, nowMillis) }
+        is PoolMessage.Limits -> serve(state.copy(limits = message.limits.toPersistentMap()), nowMillis)
+        is PoolMessage.Tick -> expire(state, nowMillis).then { serve(it, nowMillis) }
+    }
+
+    private fun returned(state: PoolState, message: PoolMessage.Returned, nowMillis: Long): Decision<PoolState, PoolEffect> {
+        val instance = state.instances[message.target] ?: return close(state, message.connection)
+        val seen = state.update(message.target) { seen(message.applied, nowMillis).copy(lent = lent.remove(message.connection)) }
+        if (message.isSilent) return silent(seen, message, nowMillis)
+        val kept = message.state?.takeIf { instance.size <= state.limitOf(instance.record.group) } ?: return close(seen, message.connection)
+        return Decision(seen.update(message.target) { copy(idle = idle.add(PoolConnection(message.connection, message.target, kept))) })
+    }
+
+    // The other connections to a silent instance are most likely silent too.
+    private fun silent(state: PoolState, message: PoolMessage.Returned, nowMillis: Long): Decision<PoolState, PoolEffect> {
+        val idle = state.instances[message.target]?.idle.orEmpty().map { it.id }
+        val next = state.update(message.target) { copy(idle = persistentListOf(), retryAtMillis = nowMillis + settings.firstRetryMillis) }
+        return Decision(next, (idle + message.connection).map { PoolEffect.Close(it) }.toPersistentList())
+    }
+
+    private fun opened(state: PoolState, message: PoolMessage.Opened, nowMillis: Long): Decision<PoolState, PoolEffect> {
+        val organisation = state.instances[message.target]?.opening?.get(message.connection) ?: return close(state, message.connection)
+        val connection = PoolConnection(message.connection, message.target, TargetConnectionState(organisation))
+        return Decision(
+            state.update(message.target) {
+                seen(message.applied, nowMillis)
+                    .copy(opening = opening.remove(message.connection), idle = idle.add(connection), failures = 0, retryAtMillis = 0)
+            },
+        )
+    }
+
+    private fun openFailed(state: PoolState, message: PoolMessage.OpenFailed, nowMillis: Long): PoolState = state.update(message.target) {
+        val pause = (settings.firstRetryMillis shl failures.coerceAtMost(MAX_DOUBLINGS)).coerceAtMost(settings.longestRetryMillis)
+        copy(opening = opening.remove(message.connection), failures = failures + 1, retryAtMillis = nowMillis + pause)
+    }
+
+    private fun closed(state: PoolState, message: PoolMessage.Closed): PoolState =
+        state.update(message.target) { copy(idle = idle.removeAll { it.id == message.connection }) }
+
+    private fun directory(state: PoolState, records: Collection<InstanceRecord>, nowMillis: Long): Decision<PoolState, PoolEffect> {
+        val known = records.associateBy { it.target }
+        // Another life of an id is another instance: nothing that was known of the old one holds.
+        val gone = state.instances.values.filter { known[it.record.target]?.bornMillis != it.record.bornMillis }
+        val closes = gone.flatMap { instance -> instance.idle.map { PoolEffect.Close(it.id) } }
+        val kept = gone.fold(state.instances) { map, instance -> map.remove(instance.record.target) }
+        val instances = known.values.fold(kept) { map, record -> map.put(record.target, renewed(map[record.target], record, nowMillis)) }
+        return Decision(state.copy(instances = instances), closes.toPersistentList())
+    }
+
+    private fun renewed(known: PoolInstance?, record: InstanceRecord, nowMillis: Long): PoolInstance {
+        val instance = known ?: PoolInstance(record)
+        val isSettled = instance.isDemoted && record.sequence == instance.record.sequence
+        return instance.copy(
+            record = record,
+            leavingSinceMillis = if (record.isLeaving) instance.leavingSinceMillis ?: nowMillis else null,
+            isDemoted = isSettled || instance.isDemoted && record.role == TargetRole.REPLICA,
+        )
+    }
+
+    private fun expire(state: PoolState, nowMillis: Long): Decision<PoolState, PoolEffect> {
+        val due = state.waiting.filter { it.deadlineMillis <= nowMillis }
+        if (due.isEmpty()) return Decision(state)
+        val refusals = due.map { waiting ->
+            val isLed = state.instances.values.any { it.record.group == waiting.want.group && cost.leads(it, nowMillis) }
+            PoolEffect.Refuse(waiting.token, isLeaderless = !isLed)
+        }
+        return Decision(state.copy(waiting = state.waiting.removeAll(due)), refusals.toPersistentList())
+    }
+
+    private fun serve(state: PoolState, nowMillis: Long): Decision<PoolState, PoolEffect> {
+        val order = state.waiting.sortedBy { it.want.priority }
+        val start = Decision<PoolState, PoolEffect>(state)
+        // A connection on its way is meant for somebody who waits already: none is opened twice for the same want.
+        val coming: List<Pair<GroupId, OrganisationId>> =
+            state.instances.values.flatMap { instance -> instance.opening.values.map { instance.record.group to it } }
+        return order.fold(start to coming) { (decision, open), waiting ->
+            val key = waiting.want.group to (waiting.want.organisation ?: NOBODY)
+            val isComing = key in open
+            val next = place(decision.state, waiting, mayOpen = !isComing, nowMillis)
+            val isLent = next != null && next.effects.any { it is PoolEffect.Lend }
+            val left = if (isComing && !isLent) open - key else open
+            (if (next == null) decision else decision.then { next }) to left
+        }.first
+    }
+
+    private fun place(state: PoolState, waiting: WaitingWant, mayOpen: Boolean, nowMillis: Long): Decision<PoolState, PoolEffect>? {
+        val limit = state.limitOf(waiting.want.group)
+        val costs = state.instances.values.mapNotNull { instance ->
+            cost.of(instance, waiting.want, limit, nowMillis)?.let { instance to it }
+        }
+        val instance = costs.minByOrNull { it.second }?.first ?: return null
+        val warm = instance.idle.lastOrNull { waiting.want.organisation == null || it.state.organisation == waiting.want.organisation }
+        return when {
+            warm != null -> lend(state, instance, warm, waiting)
+            mayOpen -> open(state, instance, waiting.want.organisation ?: NOBODY, limit)
+            else -> null
+        }
+    }
+
+    private fun lend(
+        state: PoolState,
+        instance: PoolInstance,
+        connection: PoolConnection,
+        waiting: WaitingWant,
+    ): Decision<PoolState, PoolEffect> {
+        val next = state
+            .copy(waiting = state.waiting.remove(waiting))
+            .update(instance.record.target) { copy(idle = idle.remove(connection), lent = lent.add(connection.id)) }
+        return Decision(next, persistentListOf(PoolEffect.Lend(waiting.token, connection, instance.record)))
+    }
+
+    private fun open(state: PoolState, instance: PoolInstance, organisation: OrganisationId, limit: Int): Decision<PoolState, PoolEffect> {
+        val target = instance.record.target
+        val evicted = if (instance.size >= limit) instance.idle.firstOrNull() else null
+        val room = if (evicted == null) Decision(state) else close(state.update(target) { copy(idle = idle.remove(evicted)) }, evicted.id)
+        return room.then {
+            val id = ConnectionId(it.nextConnection)
+            val next = it.copy(nextConnection = it.nextConnection + 1).update(target) { copy(opening = opening.put(id, organisation)) }
+            Decision(next, persistentListOf(PoolEffect.Open(id, instance.record, organisation)))
+        }
+    }
+
+    private fun close(state: PoolState, connection: ConnectionId): Decision<PoolState, PoolEffect> =
+        Decision(state, persistentListOf(PoolEffect.Close(connection)))
+
+    private fun PoolInstance.seen(position: Position?, nowMillis: Long): PoolInstance {
+        val known = applied
+        val isNewer = position != null && (known == null || CommitHorizon.compare(position, known) >= 0)
+        return if (isNewer) copy(applied = position, appliedAtMillis = nowMillis) else copy(appliedAtMillis = nowMillis)
+    }
+
+    private companion object {
+        /** 100 ms doubled four times is the longest pause. */
+        const val MAX_DOUBLINGS = 4
+
+        /** Stands for the daemon itself where a target asks who connects. */
+        val NOBODY = OrganisationId("-")
+    }
+}
--- a/core/src/main/kotlin/org/buckthornhub/replication/Formation.kt
+++ b/core/src/main/kotlin/org/buckthornhub/replication/Formation.kt
@@ -11,21 +11,22 @@
         val round = start.state.helloRound + 1
         val next = nowMillis + start.state.settings.heartbeatMillis * HELLO_HEARTBEATS
         val step = start.update { copy(helloRound = round, helloAtMillis = next, blankVms = persistentMapOf()) }
-        val others = step.state.settings.vms - step.state.self.vm
+        val others = step.state.introducers + step.state.log.members.map { it.vm } - step.state.self.vm
         return formIfAllBlank(others.fold(step) { s, vm -> s.emit(ReplicationEffect.Send(vm, PeerMessage.Hello(s.state.self, round))) })
     }
 
-    fun hello(start: Step, message: PeerMessage.Hello): Step {
+    fun hello(start: Step, message: PeerMessage.Hello, nowMillis: Long): Step {
         val state = start.state
         val answer = PeerMessage.HelloAnswer(state.self, asker = message.from, round = message.round, members = state.log.members)
-        return Membership.welcome(start, message.from).send(message.from, answer)
+        return Membership.welcome(start, message.from, nowMillis).send(message.from, answer)
     }
 
     fun helloAnswer(start: Step, message: PeerMessage.HelloAnswer): Step {
         val state = start.state
         if (state.log.members.isNotEmpty() || message.asker != state.self || message.round != state.helloRound) return start
         if (state.self in message.members) return adopt(start, message.members)
-        if (message.members.isNotEmpty()) return start
+        if (message.members.isNotEmpty()) return start.update { copy(introducers = introducers.addAll(message.members.map { it.vm })) }
+        if (message.from.vm !in state.settings.vms) return start
         return formIfAllBlank(start.update { copy(blankVms = blankVms.put(message.from.vm, message.from)) })
     }
 
@@ -33,7 +34,8 @@
     private fun formIfAllBlank(step: Step): Step {
         val state = step.state
         val isBlank = state.log.members.isEmpty() && state.log.lastIndex == 0L
-        if (!isBlank || state.blankVms.keys != state.settings.vms - state.self.vm) return step
+        val isFounder = state.settings.mayForm && state.self.vm in state.settings.vms
+        if (!isBlank || !isFounder || state.blankVms.keys != state.settings.vms - state.self.vm) return step
         return adopt(step, state.blankVms.values.toSet() + state.self)
     }
 
--- a/core/src/main/kotlin/org/buckthornhub/replication/Leading.kt
+++ b/core/src/main/kotlin/org/buckthornhub/replication/Leading.kt
@@ -21,7 +21,13 @@
         if (silentMillis > start.state.settings.electionMillis * SILENT_ELECTIONS) {
             return Election.restartTimer(Election.follow(start, start.state.durable.term, leader = null, nowMillis), nowMillis)
         }
-        return if (nowMillis >= leader.nextHeartbeatMillis) broadcast(start, nowMillis) else start
+        return if (nowMillis >=
+            leader.nextHeartbeatMillis
+        ) {
+            broadcast(Membership.dropSilentNewcomers(start, nowMillis), nowMillis)
+        } else {
+            start
+        }
     }
 
     fun append(step: Step, content: EntryContent): Step = step.updateDurable { copy(log = log.append(term, content)) }
@@ -67,7 +73,7 @@
     fun appendAnswer(start: Step, message: PeerMessage.AppendAnswer, nowMillis: Long): Step {
         val leader = start.state.role as? Role.Leader ?: return start
         val progress = leader.followers[message.from] ?: return start
-        val next = progressed(progress, message, leader.round)
+        val next = progressed(progress, message, leader.round).copy(heardMillis = nowMillis)
         val step = start.updateLeader { copy(followers = followers.put(message.from, next)) }
         val committed = Membership.review(announceCommit(Commitment.advance(step, nowMillis), nowMillis, start), nowMillis)
         val hasMore = next.nextIndex <= start.state.log.lastIndex && next.nextIndex != progress.nextIndex
--- a/core/src/main/kotlin/org/buckthornhub/replication/Reception.kt
+++ b/core/src/main/kotlin/org/buckthornhub/replication/Reception.kt
@@ -3,7 +3,7 @@
 /** Hands each message of another member to the part that it concerns. */
 internal object Reception {
     fun receive(start: Step, message: PeerMessage, nowMillis: Long): Step = when (message) {
-        is PeerMessage.Hello -> Formation.hello(start, message)
+        is PeerMessage.Hello -> Formation.hello(start, message, nowMillis)
         is PeerMessage.HelloAnswer -> Formation.helloAnswer(start, message)
         is PeerMessage.VoteRequest -> Election.voteRequest(start, message, nowMillis)
         is PeerMessage.VoteAnswer -> Election.voteAnswer(start, message, nowMillis)
--- a/core/src/main/kotlin/org/buckthornhub/replication/ReplicationMessage.kt
+++ b/core/src/main/kotlin/org/buckthornhub/replication/ReplicationMessage.kt
@@ -1,6 +1,7 @@
 package org.buckthornhub.replication
 
 import org.buckthornhub.control.ControlCommand
+import org.buckthornhub.fleet.VmId
 
 /** What the replication of one member is told. */
 public sealed interface ReplicationMessage {
@@ -18,6 +19,9 @@
     /** Append the proposals that came before this, all with one sync. */
     public data object Flush : ReplicationMessage
 
+    /** The VMs that know of the quorum are others now. */
+    public data class Introduced(val vms: Set<VmId>) : ReplicationMessage
+
     /** Find out whether this member still leads; answered by [ReplicationEffect.AnswerConfirmation]. */
     public data class Confirm(val token: Long) : ReplicationMessage
 }
--- a/core/src/main/kotlin/org/buckthornhub/replication/ReplicationState.kt
+++ b/core/src/main/kotlin/org/buckthornhub/replication/ReplicationState.kt
@@ -1,7 +1,9 @@
 package org.buckthornhub.replication
 
 import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.toPersistentSet
 import org.buckthornhub.control.MachineState
 import org.buckthornhub.fleet.VmId
 
@@ -11,6 +13,7 @@
  * @property commitIndex last entry known to be committed; [machine] is the state after it
  * @property electionAtMillis when to stand for election unless a leader is heard before
  * @property freshMillis local time at which a majority stood behind [machine] or an older state; null if never
+ * @property introducers VMs that are asked for the quorum by one that is no member
  * @property blankVms VMs that answered the hello of [helloRound] and are in no quorum either
  */
 public data class ReplicationState(
@@ -23,6 +26,7 @@
     val machine: MachineState = durable.log.snapshot.machine,
     val electionAtMillis: Long? = null,
     val freshMillis: Long? = null,
+    val introducers: PersistentSet<VmId> = settings.vms.toPersistentSet(),
     val helloRound: Long = 0,
     val helloAtMillis: Long = 0,
     val blankVms: PersistentMap<VmId, Member> = persistentMapOf(),
--- /dev/null
+++ b/core/src/test/kotlin/org/buckthornhub/failover/FailoverDeciderTest.kt
@@ -0,0 +1,99 @@
+package org.buckthornhub.failover
+
+import org.buckthornhub.directory.InstanceRecord
+import org.buckthornhub.fleet.ZoneId
+import org.buckthornhub.group.GroupId
+import org.buckthornhub.group.LogPosition
+import org.buckthornhub.group.Position
+import org.buckthornhub.group.Term
+import org.buckthornhub.target.TargetId
+import org.buckthornhub.target.TargetRole
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.MethodSource
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertTrue
+
+internal class FailoverDeciderTest {
+    private val decider = FailoverDecider()
+
+    @ParameterizedTest
+    @MethodSource("cases")
+    fun `a primary is replaced when it has to be, by the one that received most`(case: FailoverCase) {
+        var state = FailoverState()
+        var promoted = listOf<String>()
+        for (now in 0L..4_000L step 100) {
+            val review = decider.decide(state, FailoverMessage.Review(case.records, case.unreachable), now)
+            state = review.state
+            for (survey in review.effects.filterIsInstance<FailoverEffect.Survey>()) {
+                val answered = decider.decide(
+                    state,
+                    FailoverMessage.Surveyed(group, survey.target, case.statuses[survey.target.value]),
+                    now,
+                )
+                state = answered.state
+                promoted = promoted + answered.effects.filterIsInstance<FailoverEffect.Promote>().map { it.target.value }
+            }
+            promoted = promoted + review.effects.filterIsInstance<FailoverEffect.Promote>().map { it.target.value }
+        }
+        assertEquals(listOfNotNull(case.promoted), promoted)
+    }
+
+    @Test
+    fun `an unanswered order is repeated for the same instance, and a refused one leads to another`() {
+        val promoting = FailoverState().with(group, FailoverPhase.Promoting(near.target, attempt = 1, reason = "test"))
+        val unanswered = decider.decide(promoting, FailoverMessage.Ordered(group, near.target, PromotionOutcome.UNKNOWN), 0)
+        assertEquals(near.target, assertIs<FailoverEffect.Promote>(unanswered.effects.single()).target)
+        val refused = decider.decide(unanswered.state, FailoverMessage.Ordered(group, near.target, PromotionOutcome.REFUSED), 10)
+        val again = decider.decide(refused.state, FailoverMessage.Review(listOf(near, far, leader), setOf(leader.target)), 20)
+        assertEquals(listOf(far.target), again.effects.filterIsInstance<FailoverEffect.Survey>().map { it.target })
+    }
+
+    @Test
+    fun `a promoted instance has time to show itself`() {
+        val promoting = FailoverState().with(group, FailoverPhase.Promoting(near.target, attempt = 1, reason = "test"))
+        val done = decider.decide(promoting, FailoverMessage.Ordered(group, near.target, PromotionOutcome.DONE), 0).state
+        val review = FailoverMessage.Review(listOf(leader, near, far), setOf(leader.target))
+        assertTrue(decider.decide(done, review, 2_000).effects.isEmpty())
+        assertTrue(decider.decide(decider.decide(done, review, 3_000).state, review, 3_100).effects.isNotEmpty())
+    }
+
+    private companion object {
+        private val group = GroupId("g")
+        private val leader = record("leader", TargetRole.PRIMARY)
+        private val near = record("near", TargetRole.REPLICA)
+        private val far = record("far", TargetRole.REPLICA)
+
+        private fun record(name: String, role: TargetRole) =
+            InstanceRecord(TargetId(name), group, "10.0.0.1:1", ZoneId("a"), role, isLeaving = false, bornMillis = 1, sequence = 1)
+
+        private fun status(term: Long, index: Long) = InstanceStatus(TargetRole.REPLICA, Position(Term(term), LogPosition(index)))
+
+        private val bothAnswer = mapOf("near" to status(1, 5), "far" to status(1, 7))
+
+        @JvmStatic
+        fun cases(): List<FailoverCase> = listOf(
+            FailoverCase("all is well", listOf(leader, near, far), emptySet(), bothAnswer, promoted = null),
+            FailoverCase("most daemons can't reach the primary", listOf(leader, near, far), setOf(leader.target), bothAnswer, "far"),
+            FailoverCase("the primary leaves", listOf(leader.copy(isLeaving = true), near, far), emptySet(), bothAnswer, "far"),
+            FailoverCase("nobody leads for some time", listOf(near, far), emptySet(), bothAnswer, "far"),
+            FailoverCase(
+                "a newer term counts before a higher position",
+                listOf(near, far),
+                emptySet(),
+                mapOf("near" to status(2, 5), "far" to status(1, 7)),
+                "near",
+            ),
+            FailoverCase(
+                "a silent replica is left out",
+                listOf(near, far),
+                emptySet(),
+                mapOf("near" to status(1, 5), "far" to null),
+                "near",
+            ),
+            FailoverCase("a replica that leaves is left out", listOf(near, far.copy(isLeaving = true)), emptySet(), bothAnswer, "near"),
+            FailoverCase("no replica at all", listOf(leader), setOf(leader.target), emptyMap(), promoted = null),
+        )
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/org/buckthornhub/horizon/CommitHorizonTest.kt
@@ -0,0 +1,77 @@
+package org.buckthornhub.horizon
+
+import org.buckthornhub.connection.CommitMark
+import org.buckthornhub.group.LogPosition
+import org.buckthornhub.group.Position
+import org.buckthornhub.group.Term
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.MethodSource
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNotNull
+
+internal class CommitHorizonTest {
+    @ParameterizedTest
+    @MethodSource("cases")
+    fun `a read sees what it has to`(case: FloorCase) {
+        val horizon = case.samples.fold(CommitHorizon()) { horizon, sample -> horizon.with(sample) }
+        assertEquals(case.floor, horizon.floorAt(atMillis = 10_000, maxAgeMillis = 2_000, case.own))
+    }
+
+    @Test
+    fun `the floor covers every commit that is older than allowed, whichever samples were taken`() {
+        val random = Random(5)
+        repeat(300) {
+            var horizon = CommitHorizon()
+            // The commit with index n is acknowledged at the n-th time.
+            val commits = (1..60).runningFold(0L) { at, _ -> at + random.nextLong(1, 200) }
+            var at = 0L
+            while (at < 8_000) {
+                at += random.nextLong(20, 700)
+                horizon = horizon.with(HorizonSample(at, position(1, commits.count { it < at }.toLong())))
+                val floor = horizon.floorAt(at + 100, maxAgeMillis = 1_500) ?: continue
+                val required = commits.count { it < at + 100 - 1_500 }.toLong()
+                assertEquals(true, floor.index.value >= required, "a read at ${at + 100} may miss a commit")
+            }
+            assertNotNull(horizon.newest)
+        }
+    }
+
+    private companion object {
+        private fun position(term: Long, index: Long) = Position(Term(term), LogPosition(index))
+
+        private fun sample(at: Long, term: Long, index: Long) = HorizonSample(at, position(term, index))
+
+        @JvmStatic
+        fun cases(): List<FloorCase> = listOf(
+            FloorCase("nothing was ever asked", emptyList(), null, null),
+            FloorCase("the only answer is too old", listOf(sample(7_999, 1, 5)), null, null),
+            FloorCase(
+                "the oldest answer that will do",
+                listOf(sample(7_000, 1, 5), sample(8_500, 1, 6), sample(9_500, 1, 9)),
+                null,
+                position(1, 6),
+            ),
+            FloorCase(
+                "an own commit beyond it",
+                listOf(sample(8_500, 1, 6), sample(9_000, 1, 7)),
+                CommitMark(position(1, 8), 9_900),
+                position(1, 8),
+            ),
+            FloorCase(
+                "an own commit before it",
+                listOf(sample(8_500, 1, 6)),
+                CommitMark(position(1, 3), 1_000),
+                position(1, 6),
+            ),
+            FloorCase(
+                "an own commit that a promotion may have dropped",
+                listOf(sample(8_500, 1, 6), sample(9_500, 2, 7)),
+                CommitMark(position(1, 9), 9_000),
+                position(2, 7),
+            ),
+            FloorCase("an answer that goes back is dropped", listOf(sample(8_500, 2, 6), sample(9_500, 1, 9)), null, position(2, 6)),
+        )
+    }
+}
--- a/core/src/test/kotlin/org/buckthornhub/replication/FakeCluster.kt
+++ b/core/src/test/kotlin/org/buckthornhub/replication/FakeCluster.kt
@@ -14,9 +14,11 @@
     private val random: Random,
     size: Int = 3,
     compactAfter: Int = 12,
+    isOpen: Boolean = false,
 ) {
-    val vms = (1..size).map { VmId("vm$it") }
-    private val settings = ReplicationSettings(vms = vms.toSet(), compactAfter = compactAfter, batchLimit = 8)
+    var vms = (1..size).map { VmId("vm$it") }
+        private set
+    private val settings = ReplicationSettings(vms = vms.toSet(), isOpen = isOpen, compactAfter = compactAfter, batchLimit = 8)
     private val decider = ReplicationDecider()
     private var diskCount = 0
     private var disks = vms.associateWith { newDisk(it) }
@@ -79,6 +81,13 @@
         if (vm !in nodes) nodes = nodes + (vm to boot(vm))
     }
 
+    /** Starts a VM at an address of its own, with an empty disk, that only knows the first ones. */
+    fun join(vm: VmId) {
+        vms = vms + vm
+        disks = disks + (vm to newDisk(vm))
+        restart(vm)
+    }
+
     /** Whether every disk belongs to a member, so that one more may be lost without losing a majority of them. */
     fun isWhole(): Boolean {
         val leader = nodes.values.filter { it.role is Role.Leader }.maxByOrNull { it.durable.term } ?: return false
--- /dev/null
+++ b/core/src/test/kotlin/org/buckthornhub/replication/OpenQuorumTest.kt
@@ -0,0 +1,78 @@
+package org.buckthornhub.replication
+
+import org.buckthornhub.control.ChangeId
+import org.buckthornhub.control.ControlCommand
+import org.buckthornhub.fleet.VmId
+import org.buckthornhub.organisation.PlanList
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNotNull
+import kotlin.test.assertTrue
+
+/** VMs that stand by take the place of members that are gone. */
+internal class OpenQuorumTest {
+    private val spare = VmId("spare")
+    private var number = 0L
+
+    @Test
+    fun `a VM that stands by stays out while all members answer`() {
+        val cluster = formed(Random(1))
+        cluster.join(spare)
+        run(cluster, 8_000)
+        assertEquals(setOf("vm1", "vm2", "vm3"), memberNames(cluster))
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = [1, 2, 3, 4, 5, 6, 7, 8])
+    fun `it replaces a member that is gone, and another loss is borne then`(seed: Int) {
+        val cluster = formed(Random(seed))
+        cluster.join(spare)
+        run(cluster, 2_000)
+        repeat(20) { change(cluster) }
+        val lost = cluster.vms[seed % 3]
+        cluster.crash(lost)
+        run(cluster, 12_000)
+        assertEquals(setOf("vm1", "vm2", "vm3", "spare") - lost.value, memberNames(cluster))
+        cluster.crash(cluster.vms.first { it != lost && it != spare && it in cluster.nodes })
+        run(cluster, 6_000)
+        change(cluster)
+        assertEquals(21, leader(cluster).machine.control.revision)
+    }
+
+    @Test
+    fun `a VM with an empty disk forms no quorum of its own`() {
+        val state = ReplicationState(
+            Member(VmId("vm1"), DiskId("new")),
+            ReplicationSettings(vms = setOf(VmId("vm1")), mayForm = false, isOpen = true),
+            seed = 1,
+        )
+        val after = (0L..5_000L step 100).fold(state) { it, now -> ReplicationDecider().decide(it, ReplicationMessage.Tick, now).state }
+        assertTrue(after.log.members.isEmpty())
+    }
+
+    private fun formed(random: Random): FakeCluster = FakeCluster(random, isOpen = true).also { run(it, 2_000) }
+
+    private fun leader(cluster: FakeCluster): ReplicationState =
+        assertNotNull(cluster.nodes.values.filter { it.role is Role.Leader }.maxByOrNull { it.durable.term }, "nobody leads")
+
+    private fun memberNames(cluster: FakeCluster) = leader(cluster).log.members.map { it.vm.value }.toSet()
+
+    private fun change(cluster: FakeCluster) {
+        number += 1
+        val proposal = cluster.propose(ControlCommand.ChangePlans(ChangeId("c$number"), PlanList(number)))
+        cluster.send(proposal, leader(cluster).self.vm)
+        run(cluster, 400)
+        assertNotNull(cluster.proposals[proposal].outcome)
+    }
+
+    private fun run(cluster: FakeCluster, millis: Long) {
+        val end = cluster.nowMillis + millis
+        while (cluster.nowMillis < end) {
+            while (cluster.packets.isNotEmpty()) cluster.deliver(0)
+            cluster.pass(20)
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/org/buckthornhub/routetable/RouteTableCommandTest.kt
@@ -0,0 +1,55 @@
+package org.buckthornhub.routetable
+
+import org.buckthornhub.control.CommandOutcome
+import org.buckthornhub.control.ControlCommand
+import org.buckthornhub.control.ControlStateMachine
+import org.buckthornhub.control.MachineState
+import org.buckthornhub.group.GroupId
+import org.buckthornhub.organisation.KeyDigest
+import org.buckthornhub.organisation.OrganisationId
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.MethodSource
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+
+internal class RouteTableCommandTest {
+    @ParameterizedTest
+    @MethodSource("orders")
+    fun `the highest version wins in whatever order tables arrive, and each is acknowledged`(versions: List<Long>) {
+        val state = versions.withIndex().fold(MachineState()) { state, (index, version) ->
+            val stored = StoredRouteTable(RouteTable(version), "$version, sent as number $index")
+            val (next, outcome) = ControlStateMachine.apply(state, ControlCommand.ReplaceRouteTable(stored))
+            assertIs<CommandOutcome.Accepted>(outcome)
+            next
+        }
+        val stored = state.control.routeTable
+        val highest = versions.max()
+        assertEquals(highest, stored?.table?.version)
+        assertEquals("$highest, sent as number ${versions.indexOf(highest)}", stored?.document)
+    }
+
+    @ParameterizedTest
+    @MethodSource("faulty")
+    fun `each fault is found`(case: RouteTableCase) {
+        val table = RouteTable(1, groups = mapOf(GroupId("g") to GroupLimits(9)))
+        assertEquals(case.faults, RouteTableChecks.faultsOf(table, case.routes, case.organisations).size)
+    }
+
+    private companion object {
+        private val route = DatabaseRoute("r", DatabaseName("d"), GroupId("g"), ReadGuarantee.Latest, 100, 100)
+        private val access = OrganisationAccess(OrganisationId("o"), setOf(KeyDigest("k1")), 1.0, 1.0)
+
+        @JvmStatic
+        fun orders(): List<List<Long>> = listOf(listOf(1, 2, 3), listOf(3, 1, 2), listOf(2, 2, 1), listOf(5), listOf(1, 7, 7, 3))
+
+        @JvmStatic
+        fun faulty(): List<RouteTableCase> = listOf(
+            RouteTableCase("none", listOf(route), listOf(access), faults = 0),
+            RouteTableCase("an unknown group", listOf(route.copy(group = GroupId("x"))), emptyList(), faults = 1),
+            RouteTableCase("no timeout", listOf(route.copy(statementTimeoutMillis = 0)), emptyList(), faults = 1),
+            RouteTableCase("two routes for a database", listOf(route, route.copy(name = "s")), emptyList(), faults = 1),
+            RouteTableCase("a shared key", listOf(route), listOf(access, access.copy(organisation = OrganisationId("p"))), faults = 1),
+            RouteTableCase("an organisation twice", listOf(route), listOf(access, access.copy(keys = emptySet())), faults = 1),
+        )
+    }
+}
