--- /dev/null
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/AdmissionGate.kt
@@ -0,0 +1,57 @@
+package org.buckthornhub.connection
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getOrElse
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.withTimeoutOrNull
+import org.buckthornhub.coordination.ProxyView
+import org.buckthornhub.error.ErrorKind
+import org.buckthornhub.error.ProxyError
+import org.buckthornhub.organisation.OrganisationId
+import org.buckthornhub.routetable.RouteTable
+
+/** Decides whether a caller may go on, by a route table that surely has every key that was taken away. */
+internal class AdmissionGate(private val environment: SessionEnvironment) {
+    /** Where the caller is led; fails with `DATABASE_UNKNOWN`, `KEY_UNKNOWN` or `CONFIGURATION_STALE`. */
+    suspend fun check(caller: CallerIdentity): Result<Admission, ProxyError> {
+        val table = freshTable().getOrElse { return Err(it) }
+        val route = table.routes[caller.database]
+            ?: return Err(ProxyError(ErrorKind.DATABASE_UNKNOWN, "no route leads from database ${caller.database}"))
+        val holder = table.holderOf(caller.key)
+        if (holder == null && !route.isAnonymous) return Err(ProxyError(ErrorKind.KEY_UNKNOWN, "no organisation holds this key"))
+        return Ok(Admission(route, holder?.organisation ?: ANONYMOUS))
+    }
+
+    /** [check], and counts one operation of the organisation; also fails with `RATE_EXCEEDED`. */
+    suspend fun admit(caller: CallerIdentity): Result<Admission, ProxyError> {
+        val admission = check(caller).getOrElse { return Err(it) }
+        val view = environment.view.value
+        val access = view.table?.organisations?.get(admission.organisation) ?: return Ok(admission)
+        val retryAfterMillis =
+            environment.meter.admit(access.organisation, view.rateOf(access, environment.settings.tolerance)) ?: return Ok(admission)
+        return Err(ProxyError(ErrorKind.RATE_EXCEEDED, "organisation ${access.organisation} is over its rate", retryAfterMillis))
+    }
+
+    private suspend fun freshTable(): Result<RouteTable, ProxyError> {
+        val view = environment.view.value.takeIf { isFresh(it) }
+            ?: withTimeoutOrNull(environment.settings.freshWaitMillis) { environment.view.first { isFresh(it) } }
+        val table = view?.table
+        if (table != null) return Ok(table)
+        val ageMillis = environment.view.value.freshMillis?.let { environment.clock.nowMillis() - it }
+        return Err(
+            ProxyError(ErrorKind.CONFIGURATION_STALE, "no majority of the control quorum was heard for $ageMillis ms", STALE_RETRY_MILLIS),
+        )
+    }
+
+    private fun isFresh(view: ProxyView): Boolean =
+        view.table != null && view.isFresh(environment.clock.nowMillis(), environment.settings.keyFreshMillis)
+
+    private companion object {
+        val ANONYMOUS = OrganisationId("-")
+
+        /** An election takes about this long. */
+        const val STALE_RETRY_MILLIS = 1_000L
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/ClientRequest.kt
@@ -0,0 +1,23 @@
+package org.buckthornhub.connection
+
+import org.buckthornhub.organisation.ApiKey
+import org.buckthornhub.routetable.DatabaseName
+import org.buckthornhub.statement.RequestId
+
+/** What a caller sends on its connection. */
+public sealed interface ClientRequest {
+    public data class Start(
+        val database: DatabaseName,
+        val key: ApiKey,
+    ) : ClientRequest
+
+    public data class Query(
+        val id: RequestId,
+        val statement: ClientStatement,
+    ) : ClientRequest
+
+    public data object Terminate : ClientRequest
+
+    /** Bytes that are no request; the connection can't go on. */
+    public data class Unreadable(val detail: String) : ClientRequest
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/ReadStatements.kt
@@ -0,0 +1,64 @@
+package org.buckthornhub.connection
+
+import com.github.michaelbull.result.getOrElse
+import org.buckthornhub.error.ErrorKind
+import org.buckthornhub.error.ProxyError
+import org.buckthornhub.group.Position
+import org.buckthornhub.instancepool.ConnectionNeed
+import org.buckthornhub.instancepool.ConnectionWant
+import org.buckthornhub.routetable.ReadGuarantee
+import org.buckthornhub.statement.RequestId
+import org.buckthornhub.target.TargetId
+
+/** Runs single reads at any instance that is recent enough. */
+internal class ReadStatements(private val environment: SessionEnvironment) {
+    suspend fun read(
+        work: TargetWork,
+        id: RequestId,
+        session: SessionState,
+        admission: Admission,
+        receivedMillis: Long,
+        excluded: Set<TargetId>,
+    ): RunOutcome {
+        val floor = floorOf(admission, session, receivedMillis) ?: return RunOutcome.Final(unknownFloor(admission))
+        val want = wantOf(admission, floor, excluded)
+        val deadlineMillis = environment.clock.nowMillis() + admission.waitMillis
+        val lease = environment.pool.acquire(want, deadlineMillis).getOrElse { return RunOutcome.Final(it) }
+        val target = lease.instance.target
+        val reply = lease.work(work, id, session, floor, admission.attemptMillis).getOrElse { failure ->
+            lease.giveBack()
+            return RunOutcome.Again(target, ProxyError(ErrorKind.ANSWER_LOST, "$target gave no answer: ${failure.detail}"))
+        }
+        lease.giveBack()
+        return when (reply) {
+            is TargetReply.Completed -> RunOutcome.Done(reply, lease)
+            is TargetReply.Refused -> outcomeOf(target, reply)
+        }
+    }
+
+    /** The position that a read has to see whose first byte was read at [atMillis]; null if the leader could not be asked in time. */
+    suspend fun floorOf(admission: Admission, session: SessionState, atMillis: Long): Position? {
+        val group = admission.route.group
+        return when (val guarantee = admission.route.guarantee) {
+            is ReadGuarantee.Latest -> null
+            is ReadGuarantee.BoundedAge ->
+                environment.horizons.awaitFloor(group, admission.waitMillis) { it.floorAt(atMillis, guarantee.maxAgeMillis) }
+            is ReadGuarantee.OwnWrites ->
+                environment.horizons.awaitFloor(group, admission.waitMillis) {
+                    it.floorAt(atMillis, guarantee.maxAgeMillis, session.commits[group])
+                }
+        }
+    }
+
+    fun wantOf(admission: Admission, floor: Position, excluded: Set<TargetId>) =
+        ConnectionWant(admission.route.group, admission.organisation, ConnectionNeed.AtLeast(floor), admission.route.priority, excluded)
+
+    fun unknownFloor(admission: Admission) =
+        ProxyError(ErrorKind.NO_PRIMARY, "the leader of group ${admission.route.group} has not said lately what it has committed")
+
+    private fun outcomeOf(target: TargetId, reply: TargetReply.Refused): RunOutcome {
+        val error = TargetErrors.of(target, reply)
+        val isFinal = reply.refusal == TargetRefusal.MALFORMED || reply.refusal == TargetRefusal.TIMED_OUT
+        return if (isFinal) RunOutcome.Final(error) else RunOutcome.Again(target, error)
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/SessionTask.kt
@@ -0,0 +1,224 @@
+package org.buckthornhub.connection
+
+import com.github.michaelbull.result.getOrElse
+import com.github.michaelbull.result.mapBoth
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.channels.ChannelResult
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.selects.onTimeout
+import kotlinx.coroutines.selects.select
+import org.buckthornhub.decisionlog.DecisionEvent
+import org.buckthornhub.error.ErrorKind
+import org.buckthornhub.error.ProxyError
+import org.buckthornhub.group.Position
+import org.buckthornhub.instancepool.TargetLease
+import org.buckthornhub.organisation.KeyDigest
+import org.buckthornhub.statement.Access
+import org.buckthornhub.statement.RequestId
+
+/** One caller's connection from its start to its end; its mailbox is the connection itself. */
+internal class SessionTask(
+    private val link: ClientLink,
+    private val environment: SessionEnvironment,
+) {
+    private val gate = AdmissionGate(environment)
+    private val alone = AloneStatements(environment)
+    private var session = SessionState()
+    private var transaction: TransactionRun? = null
+    private lateinit var caller: CallerIdentity
+    private var current: RequestId? = null
+    private var startedMillis = 0L
+    private lateinit var scope: CoroutineScope
+
+    fun start(scope: CoroutineScope): Job = scope.launch {
+        this@SessionTask.scope = scope
+        try {
+            if (open()) serve()
+        } finally {
+            transaction?.abandon()
+            link.close()
+        }
+    }
+
+    private suspend fun open(): Boolean {
+        val request = link.requests.receiveCatching().getOrNull() ?: return false
+        if (request !is ClientRequest.Start) return end(ProxyError(ErrorKind.MALFORMED_REQUEST, "a session begins with its database"))
+        caller = CallerIdentity(request.database, KeyDigest.of(request.key))
+        gate.check(caller).getOrElse { return end(it) }
+        link.send(ClientReply.Started)
+        return true
+    }
+
+    private suspend fun serve() {
+        while (true) {
+            when (val next = next()) {
+                is SessionEvent.Idle -> if (!expire()) return
+                is SessionEvent.Leaving -> return
+                is SessionEvent.Request -> if (!handle(next.request)) return
+                is SessionEvent.Gone -> return
+            }
+        }
+    }
+
+    @OptIn(ExperimentalCoroutinesApi::class)
+    private suspend fun next(): SessionEvent = select {
+        link.requests.onReceiveCatching { result: ChannelResult<ClientRequest> ->
+            result.getOrNull()?.let { SessionEvent.Request(it) } ?: SessionEvent.Gone
+        }
+        if (session.transaction is TransactionState.Open) onTimeout(idleMillis()) { SessionEvent.Idle }
+        if (session.transaction is TransactionState.None) environment.leaving.onJoin { SessionEvent.Leaving }
+    }
+
+    private fun idleMillis(): Long = environment.view.value.table?.transactionIdleMillis ?: DEFAULT_IDLE_MILLIS
+
+    private fun expire(): Boolean {
+        transaction?.rollBack()
+        transaction = null
+        session = session.copy(transaction = TransactionState.Failed)
+        environment.decisions.record(DecisionEvent.TransactionExpired(caller.database, idleMillis()))
+        return true
+    }
+
+    private suspend fun handle(request: ClientRequest): Boolean = when (request) {
+        is ClientRequest.Query -> query(request)
+        is ClientRequest.Terminate -> false
+        is ClientRequest.Unreadable -> end(ProxyError(ErrorKind.MALFORMED_REQUEST, request.detail))
+        is ClientRequest.Start -> end(ProxyError(ErrorKind.MALFORMED_REQUEST, "the session is open already"))
+    }
+
+    private suspend fun query(request: ClientRequest.Query): Boolean {
+        current = request.id
+        startedMillis = environment.clock.nowMillis()
+        when (val step = SessionRules.next(session, request.statement, environment.clock.nowMillis())) {
+            is SessionStep.Acknowledge -> acknowledge(step.state)
+            is SessionStep.Refuse -> refuse(ProxyError(step.kind, step.detail), step.state)
+            is SessionStep.BeginTransaction -> return begin(step)
+            is SessionStep.RunAlone -> return runAlone(request, step)
+            is SessionStep.RunInTransaction -> return runInTransaction(request, step)
+            is SessionStep.CommitTransaction -> return commit(request, step)
+            is SessionStep.RollBackTransaction -> {
+                transaction?.rollBack()
+                transaction = null
+                acknowledge(step.state)
+            }
+        }
+        return true
+    }
+
+    private suspend fun begin(step: SessionStep.BeginTransaction): Boolean {
+        val admission = gate.admit(caller).getOrElse { return turnAway(it) }
+        transaction = TransactionRun(environment, scope, admission)
+        acknowledge(step.state)
+        return true
+    }
+
+    private suspend fun runAlone(request: ClientRequest.Query, step: SessionStep.RunAlone): Boolean {
+        val admission = gate.admit(caller).getOrElse { return turnAway(it) }
+        when (val outcome = alone.run(scope, step.work, request.id, session, admission)) {
+            is RunOutcome.Done -> {
+                if (step.work.access == Access.WRITE) noteCommit(admission, outcome.reply.position)
+                complete(outcome.reply, outcome.lease)
+            }
+            is RunOutcome.Final -> refuse(outcome.error, session)
+            is RunOutcome.Again -> refuse(outcome.error, session)
+        }
+        return true
+    }
+
+    private suspend fun runInTransaction(request: ClientRequest.Query, step: SessionStep.RunInTransaction): Boolean {
+        val open = transaction ?: return fail(lostTransaction)
+        // A key that was taken away ends its transactions too.
+        gate.check(caller).getOrElse { return fail(it) }
+        val reply = open.run(step.work, request.id, session, step.transaction).getOrElse { return fail(it) }
+        val hasWritten = step.transaction.hasWritten || step.work.access == Access.WRITE
+        session = session.copy(transaction = step.transaction.copy(hasWritten = hasWritten))
+        complete(reply)
+        return true
+    }
+
+    private suspend fun commit(request: ClientRequest.Query, step: SessionStep.CommitTransaction): Boolean {
+        val open = transaction ?: return fail(lostTransaction)
+        val admission = gate.check(caller).getOrElse { return fail(it) }
+        val result = open.commit(request.id, session, step.transaction)
+        transaction = null
+        session = session.copy(transaction = TransactionState.None)
+        result.mapBoth(
+            success = {
+                if (step.transaction.hasWritten) noteCommit(admission, it.position)
+                complete(it)
+            },
+            failure = { refuse(it, session) },
+        )
+        return true
+    }
+
+    private fun noteCommit(admission: Admission, position: Position?) {
+        if (position != null) session = session.committed(admission.route.group, position, environment.clock.nowMillis())
+    }
+
+    private fun acknowledge(state: SessionState) {
+        session = state
+        link.send(ClientReply.Completed(emptyList(), signature = null, phase(), position = null))
+    }
+
+    private fun complete(reply: TargetReply.Completed, lease: TargetLease? = null) {
+        link.send(ClientReply.Completed(reply.rows, reply.signature, phase(), reply.position))
+        val id = current ?: return
+        val event = DecisionEvent.RequestServed(id, caller.database, tookMillis(), lease?.instance?.target, lease?.waitedMillis)
+        environment.decisions.record(event)
+    }
+
+    private fun tookMillis() = environment.clock.nowMillis() - startedMillis
+
+    private fun noteFailure(error: ProxyError) {
+        val view = environment.view.value
+        environment.decisions.record(
+            DecisionEvent.RequestFailed(
+                id = current,
+                database = caller.database,
+                organisation = view.table?.holderOf(caller.key)?.organisation,
+                error = error,
+                tookMillis = tookMillis(),
+                tableVersion = view.table?.version,
+                tableAgeMillis = view.freshMillis?.let { environment.clock.nowMillis() - it },
+            ),
+        )
+    }
+
+    private fun refuse(error: ProxyError, state: SessionState) {
+        session = state
+        link.send(ClientReply.Failed(error, phase()))
+        noteFailure(error)
+    }
+
+    private fun fail(error: ProxyError): Boolean {
+        transaction?.rollBack()
+        transaction = null
+        refuse(error, session.copy(transaction = TransactionState.Failed))
+        return true
+    }
+
+    // A caller whose database or key is gone can do nothing more on this connection.
+    private fun turnAway(error: ProxyError): Boolean {
+        refuse(error, session)
+        return error.kind != ErrorKind.DATABASE_UNKNOWN && error.kind != ErrorKind.KEY_UNKNOWN
+    }
+
+    private fun end(error: ProxyError): Boolean {
+        link.send(ClientReply.Ended(error))
+        return false
+    }
+
+    private fun phase(): SessionPhase = when (session.transaction) {
+        is TransactionState.None -> SessionPhase.IDLE
+        is TransactionState.Open -> SessionPhase.IN_TRANSACTION
+        is TransactionState.Failed -> SessionPhase.FAILED
+    }
+
+    private companion object {
+        const val DEFAULT_IDLE_MILLIS = 3_000L
+        val lostTransaction = ProxyError(ErrorKind.TRANSACTION_ABORTED, "the transaction is gone")
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/TargetErrors.kt
@@ -0,0 +1,23 @@
+package org.buckthornhub.connection
+
+import org.buckthornhub.error.ErrorKind
+import org.buckthornhub.error.ProxyError
+import org.buckthornhub.target.TargetId
+
+/** Says in the terms of callers what a target answered. */
+internal object TargetErrors {
+    fun of(target: TargetId, refused: TargetReply.Refused): ProxyError {
+        val kind = when (refused.refusal) {
+            TargetRefusal.BUSY, TargetRefusal.TOO_MANY_CONNECTIONS -> ErrorKind.QUEUE_FULL
+            TargetRefusal.BEHIND -> ErrorKind.REPLICA_BEHIND
+            TargetRefusal.NOT_LEADING -> ErrorKind.NO_PRIMARY
+            TargetRefusal.OTHER_INSTANCE -> ErrorKind.NO_TARGET
+            TargetRefusal.PREPARED_UNKNOWN, TargetRefusal.ABORTED -> ErrorKind.TRANSACTION_ABORTED
+            TargetRefusal.MALFORMED -> ErrorKind.MALFORMED_REQUEST
+            TargetRefusal.FAILED, TargetRefusal.OTHER -> ErrorKind.STATEMENT_FAILED
+            TargetRefusal.TIMED_OUT -> ErrorKind.STATEMENT_TIMED_OUT
+            TargetRefusal.IN_DOUBT -> ErrorKind.OUTCOME_UNKNOWN
+        }
+        return ProxyError(kind, "$target answered ${refused.refusal}: ${refused.detail}", position = refused.position)
+    }
+}
--- a/daemon/src/main/kotlin/org/buckthornhub/control/ControlAssembly.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/control/ControlAssembly.kt
@@ -85,7 +85,7 @@
             )
         val seed = clock.wallMillis() xor settings.vm.hashCode().toLong()
         val state = ReplicationState(opened.self, replication, seed, opened.state)
-        return ControlTask(state, opened.storage, memberLinks, clock)
+        return ControlTask(state, opened.storage, { memberLinks[it] }, clock)
     }
 
     // A daemon without a control quorum stands alone with the configuration of its file.
--- a/daemon/src/main/kotlin/org/buckthornhub/control/ControlTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/control/ControlTask.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.withContext
@@ -30,7 +31,7 @@
 internal class ControlTask(
     initial: ReplicationState,
     private val storage: ControlStorage,
-    private val links: Map<VmId, Mailbox<PeerMessage>>,
+    private val linkTo: (VmId) -> Mailbox<PeerMessage>?,
     private val clock: Clock,
 ) : Task<ControlMessage>("control"),
     ControlLog,
@@ -46,6 +47,16 @@
 
     override fun view(): ReplicatedView = published.value.let { ReplicatedView(it.machine.control, it.freshMillis ?: 0) }
 
+    /** Emits after each change of whatever is known here. */
+    val changes: Flow<Any> get() = published
+
+    /** The VMs that take part in the quorum, and those that this leader knows to stand by. */
+    val memberVms: StateSource<Set<VmId>> = StateSource {
+        val state = published.value
+        val followers = (state.role as? Role.Leader)?.followers?.keys.orEmpty()
+        (state.log.members + followers).map { it.vm }.toSet()
+    }
+
     override suspend fun awaitNewer(revision: Long) {
         published.first { it.machine.control.revision > revision }
     }
@@ -101,7 +112,7 @@
         when (effect) {
             is ReplicationEffect.Persist -> withContext(Dispatchers.IO) { storage.append(effect.records) }
             is ReplicationEffect.Rewrite -> withContext(Dispatchers.IO) { storage.rewrite(effect.records) }
-            is ReplicationEffect.Send -> links[effect.to]?.offer(effect.message)
+            is ReplicationEffect.Send -> linkTo(effect.to)?.offer(effect.message)
             is ReplicationEffect.ScheduleFlush -> offer(ControlMessage.Replicate(ReplicationMessage.Flush))
             is ReplicationEffect.AnswerProposal -> {
                 proposals[effect.token]?.complete(effect.result)
--- /dev/null
+++ b/daemon/src/main/kotlin/org/buckthornhub/control/MemberLinks.kt
@@ -0,0 +1,35 @@
+package org.buckthornhub.control
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.coroutines.CoroutineScope
+import org.buckthornhub.fleet.VmId
+import org.buckthornhub.http.HttpLink
+import org.buckthornhub.peer.PeerAuthority
+import org.buckthornhub.replication.PeerMessage
+import org.buckthornhub.task.Mailbox
+
+/** Links to control VMs that become known one after the other. Used by the task of the replicated log alone. */
+internal class MemberLinks(
+    private val self: VmId,
+    private val addressOf: (VmId) -> String,
+    private val links: HttpLink.Factory,
+    private val authority: PeerAuthority,
+    private val onAnswer: (PeerMessage) -> Unit,
+) : (VmId) -> Mailbox<PeerMessage>? {
+    private var tasks: PersistentMap<VmId, MemberLinkTask> = persistentMapOf()
+    private lateinit var scope: CoroutineScope
+
+    fun start(scope: CoroutineScope) {
+        this.scope = scope
+    }
+
+    override fun invoke(vm: VmId): Mailbox<PeerMessage>? {
+        if (vm == self) return null
+        tasks[vm]?.let { return it }
+        val task = MemberLinkTask(addressOf(vm), links, authority, onAnswer)
+        task.start(scope)
+        tasks = tasks.put(vm, task)
+        return task
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/buckthornhub/coordination/AnnouncementDesk.kt
@@ -0,0 +1,73 @@
+package org.buckthornhub.coordination
+
+import com.github.michaelbull.result.getOrElse
+import io.ktor.http.HttpMethod
+import kotlinx.serialization.SerializationException
+import org.buckthornhub.caller.errorReply
+import org.buckthornhub.control.ControlClient
+import org.buckthornhub.control.ControlTask
+import org.buckthornhub.control.LeaderGuard
+import org.buckthornhub.directory.InstanceRecord
+import org.buckthornhub.error.ErrorKind
+import org.buckthornhub.error.ProxyError
+import org.buckthornhub.fleet.VmId
+import org.buckthornhub.http.HttpReply
+import org.buckthornhub.http.HttpRequest
+import org.buckthornhub.http.PeerJson
+import org.buckthornhub.http.Route
+import org.buckthornhub.target.TargetId
+
+/** Takes what instances say of themselves on any control VM, and has the leader know it before they are answered. */
+public class AnnouncementDesk internal constructor(
+    private val vm: VmId,
+    private val control: ControlTask,
+    private val coordinator: CoordinatorTask,
+    private val leader: ControlClient,
+) {
+    /** The VM that knows of [record] now; null if the leader can't be reached. */
+    public suspend fun announce(record: InstanceRecord): VmId? {
+        if (control.leadership.current().isLeader) return vm.takeIf { coordinator.offer(CoordinatorMessage.Announced(record)) }
+        return pass(ANNOUNCE, PeerJson.encodeToString(InstanceRecord.serializer(), record))
+    }
+
+    /** As [announce], for an instance that ends. */
+    public suspend fun end(target: TargetId): VmId? {
+        if (control.leadership.current().isLeader) return vm.takeIf { coordinator.offer(CoordinatorMessage.Ended(target)) }
+        return pass(END, PeerJson.encodeToString(TargetId.serializer(), target))
+    }
+
+    internal fun routes(): List<Route> {
+        val guard = LeaderGuard(control.leadership)
+        return listOf(
+            Route(
+                HttpMethod.Post,
+                ANNOUNCE,
+                guard.guard {
+                    decoded(it) { announce(PeerJson.decodeFromString(InstanceRecord.serializer(), it)) }
+                },
+            ),
+            Route(HttpMethod.Post, END, guard.guard { decoded(it) { end(PeerJson.decodeFromString(TargetId.serializer(), it)) } }),
+        )
+    }
+
+    private suspend fun pass(path: String, body: String): VmId? {
+        val to = control.leadership.current().leader
+        val reply = leader.post(path, body, PASS_MILLIS).getOrElse { return null }
+        return to.takeIf { reply.isSuccess }
+    }
+
+    private suspend fun decoded(request: HttpRequest, take: suspend (String) -> VmId?): HttpReply = try {
+        if (take(request.body) != null) HttpReply(status = 200, body = "{}") else HttpReply(UNAVAILABLE, "{}")
+    } catch (e: SerializationException) {
+        errorReply(ProxyError(ErrorKind.MALFORMED_REQUEST, e.message.orEmpty().lineSequence().first()))
+    }
+
+    private companion object {
+        const val ANNOUNCE = "/internal/instances/announce"
+        const val END = "/internal/instances/end"
+
+        /** Instances wait a second for their answer; in ms. */
+        const val PASS_MILLIS = 700L
+        const val UNAVAILABLE = 503
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/buckthornhub/coordination/ProxyView.kt
@@ -0,0 +1,43 @@
+package org.buckthornhub.coordination
+
+import org.buckthornhub.directory.InstanceDirectory
+import org.buckthornhub.fleet.VmId
+import org.buckthornhub.organisation.OrganisationId
+import org.buckthornhub.quota.LimitTolerance
+import org.buckthornhub.quota.MeterRate
+import org.buckthornhub.routetable.OrganisationAccess
+import org.buckthornhub.routetable.RouteTable
+
+/**
+ * What a daemon that serves sessions has learnt from the control quorum.
+ *
+ * @property freshMillis local monotonic time at which a majority still stood behind [table]; null if never
+ * @property controlVms where to ask, the likely leader first
+ * @property directoryRevision of the leader of [controlTerm]
+ */
+internal data class ProxyView(
+    val table: RouteTable? = null,
+    val freshMillis: Long? = null,
+    val controlVms: List<VmId> = emptyList(),
+    val controlTerm: Long = 0,
+    val directoryRevision: Long = -1,
+    val directory: InstanceDirectory = InstanceDirectory(),
+    val shares: Map<OrganisationId, Double> = emptyMap(),
+    val proxies: Int = 1,
+) {
+    /** True while no key can have been taken away for longer than [limitMillis] without this daemon knowing. */
+    fun isFresh(nowMillis: Long, limitMillis: Long): Boolean = freshMillis != null && nowMillis - freshMillis <= limitMillis
+
+    /** What this daemon may let through for [access]; the tolerance goes to the burst, for callers who come unevenly. */
+    fun rateOf(access: OrganisationAccess, tolerance: LimitTolerance): MeterRate {
+        val count = if (shares.isEmpty()) maxOf(proxies, FEWEST_PROXIES) else proxies
+        val share = shares[access.organisation] ?: (1.0 / count)
+        val burst = access.burst * share * (1 + tolerance.part) + tolerance.operations / count
+        return MeterRate(access.ratePerSecond * share, burst)
+    }
+
+    private companion object {
+        /** A daemon without a part of the limit takes the fleet to be at least this large. */
+        const val FEWEST_PROXIES = 8
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/buckthornhub/coordination/ProxyViews.kt
@@ -0,0 +1,32 @@
+package org.buckthornhub.coordination
+
+import org.buckthornhub.fleet.VmId
+
+/** Takes the news of control VMs into the view of a daemon. */
+internal object ProxyViews {
+    fun after(view: ProxyView, from: VmId, askedMillis: Long, news: ProxyNews): ProxyView {
+        val known = view.table
+        val table = news.table?.takeIf { known == null || it.version > known.version } ?: known
+        // Counted from the question, so that time on the way makes the answer older. A source that is behind proves nothing.
+        val freshMillis = news.ageMillis
+            ?.let { askedMillis + news.heldMillis - it }
+            ?.takeIf { news.tableVersion >= (table?.version ?: 0) }
+        val instances = news.instances
+        return view.copy(
+            table = table,
+            freshMillis = listOfNotNull(view.freshMillis, freshMillis).maxOrNull(),
+            controlVms = controlVms(view, from, news),
+            controlTerm = if (instances != null) news.controlTerm else view.controlTerm,
+            directoryRevision = if (instances != null) news.directoryRevision else view.directoryRevision,
+            directory = if (instances != null) view.directory.merged(instances, news.ended) else view.directory,
+            shares = news.shares ?: view.shares,
+            proxies = if (news.shares != null) news.proxies else view.proxies,
+        )
+    }
+
+    private fun controlVms(view: ProxyView, from: VmId, news: ProxyNews): List<VmId> {
+        val first = listOfNotNull(news.leader ?: from.takeIf { news.ageMillis != null })
+        val known = news.controlVms.ifEmpty { view.controlVms.toSet() }
+        return (first + known).distinct()
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/buckthornhub/coordination/ReportMessage.kt
@@ -0,0 +1,24 @@
+package org.buckthornhub.coordination
+
+import org.buckthornhub.fleet.VmId
+
+/** What the task that reports to the control quorum is told. */
+internal sealed interface ReportMessage {
+    /** Ask the next control VM. */
+    data object Ask : ReportMessage
+
+    /** @property askedMillis local monotonic time before the question was sent */
+    data class Answered(
+        val from: VmId,
+        val askedMillis: Long,
+        val news: ProxyNews,
+    ) : ReportMessage
+
+    data class Failed(
+        val from: VmId,
+        val detail: String,
+    ) : ReportMessage
+
+    /** The VMs that the settings name as introducers. */
+    data class Introducers(val vms: List<VmId>) : ReportMessage
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/buckthornhub/coordination/ReportRoutes.kt
@@ -0,0 +1,86 @@
+package org.buckthornhub.coordination
+
+import io.ktor.http.HttpMethod
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.flow.merge
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.serialization.SerializationException
+import org.buckthornhub.caller.errorReply
+import org.buckthornhub.clock.Clock
+import org.buckthornhub.control.ControlTask
+import org.buckthornhub.error.ErrorKind
+import org.buckthornhub.error.ProxyError
+import org.buckthornhub.fleet.StateSource
+import org.buckthornhub.fleet.VmId
+import org.buckthornhub.http.HttpReply
+import org.buckthornhub.http.HttpRequest
+import org.buckthornhub.http.PeerJson
+import org.buckthornhub.http.Route
+
+/** Answers daemons that serve sessions: the leader holds a question back until there is something new. */
+internal class ReportRoutes(
+    private val control: ControlTask,
+    private val coordinator: CoordinatorTask,
+    private val controlVms: StateSource<Set<VmId>>,
+    private val clock: Clock,
+) {
+    fun routes(): List<Route> = listOf(Route(HttpMethod.Post, ReportTask.PATH) { answer(it) })
+
+    private suspend fun answer(request: HttpRequest): HttpReply {
+        val receivedMillis = clock.nowMillis()
+        val report =
+            try {
+                PeerJson.decodeFromString(ProxyReport.serializer(), request.body)
+            } catch (e: SerializationException) {
+                return errorReply(ProxyError(ErrorKind.MALFORMED_REQUEST, e.message.orEmpty().lineSequence().first()))
+            }
+        if (control.leadership.current().isLeader) {
+            coordinator.offer(CoordinatorMessage.Reported(report))
+            awaitNews(report)
+        }
+        val news = newsFor(report, receivedMillis)
+        return HttpReply(status = 200, body = PeerJson.encodeToString(ProxyNews.serializer(), news))
+    }
+
+    private suspend fun awaitNews(report: ProxyReport) {
+        withTimeoutOrNull(HOLD_MILLIS) {
+            merge(control.changes, coordinator.changes).first { hasNews(report) || !control.leadership.current().isLeader }
+        }
+    }
+
+    private fun hasNews(report: ProxyReport): Boolean {
+        val isTableNew = (control.state.current().routeTable?.table?.version ?: 0) > report.tableVersion
+        return isTableNew || isDirectoryNew(report)
+    }
+
+    private fun isDirectoryNew(report: ProxyReport): Boolean = report.controlTerm != control.leadership.current().controlTerm ||
+        report.directoryRevision != coordinator.current().directoryRevision
+
+    private fun newsFor(report: ProxyReport, receivedMillis: Long): ProxyNews {
+        val leadership = control.leadership.current()
+        val state = coordinator.current()
+        val view = control.view()
+        val nowMillis = clock.nowMillis()
+        val table = view.state.routeTable?.table
+        val isSettled = leadership.isLeader && CoordinatorDecider.isSettled(state, nowMillis)
+        return ProxyNews(
+            leader = leadership.leader,
+            controlTerm = leadership.controlTerm,
+            controlVms = controlVms.current(),
+            ageMillis = view.freshMillis.takeIf { it > 0 }?.let { nowMillis - it },
+            heldMillis = nowMillis - receivedMillis,
+            tableVersion = table?.version ?: 0,
+            table = table?.takeIf { it.version > report.tableVersion },
+            directoryRevision = state.directoryRevision,
+            instances = state.directory.records.values.toList().takeIf { leadership.isLeader && isDirectoryNew(report) },
+            ended = if (leadership.isLeader) state.directory.ended else emptyMap(),
+            shares = if (isSettled && table != null) state.demand.sharesOf(report.vm, table.organisations.keys) else null,
+            proxies = maxOf(state.demand.reports.size, 1),
+        )
+    }
+
+    private companion object {
+        /** Bounds how old limits and proofs of freshness get while nothing changes; in ms. */
+        const val HOLD_MILLIS = 400L
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/buckthornhub/coordination/ReportTask.kt
@@ -0,0 +1,127 @@
+package org.buckthornhub.coordination
+
+import com.github.michaelbull.result.getOrElse
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.StateFlow
+import kotlinx.coroutines.launch
+import kotlinx.serialization.SerializationException
+import org.buckthornhub.clock.Clock
+import org.buckthornhub.fleet.StateSource
+import org.buckthornhub.fleet.VmId
+import org.buckthornhub.http.HttpLink
+import org.buckthornhub.http.PeerJson
+import org.buckthornhub.quota.DemandReport
+import org.buckthornhub.target.TargetId
+import org.buckthornhub.task.Task
+
+/** Reports to the control quorum without pause, and publishes what it answers. */
+internal class ReportTask(
+    private val vm: VmId,
+    private val addressOf: (VmId) -> String,
+    private val links: HttpLink.Factory,
+    private val demand: StateSource<DemandReport>,
+    private val unreachable: () -> Set<TargetId>,
+    private val clock: Clock,
+) : Task<ReportMessage>("report") {
+    private val published = MutableStateFlow(ProxyView())
+    private var introducers: List<VmId> = emptyList()
+    private var connections: PersistentMap<VmId, HttpLink> = persistentMapOf()
+    private var failures = 0
+    private lateinit var scope: CoroutineScope
+
+    val view: StateFlow<ProxyView> get() = published
+
+    override suspend fun onStart(scope: CoroutineScope) {
+        this.scope = scope
+        offer(ReportMessage.Ask)
+    }
+
+    override suspend fun handle(message: ReportMessage): Unit = when (message) {
+        is ReportMessage.Introducers -> introducers = message.vms
+        is ReportMessage.Ask -> ask()
+        is ReportMessage.Answered -> answered(message)
+        is ReportMessage.Failed -> failed(message)
+    }
+
+    override fun onEnd(): Unit = connections.values.forEach { it.close() }
+
+    private fun answered(message: ReportMessage.Answered) {
+        if (failures > 0) logger.info { "control VM ${message.from} answers again after $failures failures" }
+        val before = published.value
+        val after = ProxyViews.after(before, message.from, message.askedMillis, message.news)
+        published.value = after
+        if (after.table !== before.table) logger.info { "route table ${after.table?.version} is in force, from control VM ${message.from}" }
+        val isUnproven = message.news.ageMillis == null
+        failures = if (isUnproven) failures + 1 else 0
+        // A VM that does not lead answers at once; only the leader holds the question back.
+        val pause = if (message.news.instances == null && message.news.heldMillis < SHORTEST_MILLIS) SHORTEST_MILLIS else 0
+        askAfter(if (isUnproven) RETRY_MILLIS else pause)
+    }
+
+    private fun failed(message: ReportMessage.Failed) {
+        if (failures == 0) logger.warn { "control VM ${message.from} gives no answer: ${message.detail}; asking the next one" }
+        failures += 1
+        askAfter(RETRY_MILLIS)
+    }
+
+    private fun askAfter(millis: Long) {
+        scope.launch {
+            delay(millis)
+            offer(ReportMessage.Ask)
+        }
+    }
+
+    private fun ask() {
+        val sources = (published.value.controlVms + introducers).distinct()
+        if (sources.isEmpty()) return askAfter(RETRY_MILLIS)
+        val source = sources[failures % sources.size]
+        val link = linkTo(source)
+        val report = reportOf(published.value)
+        scope.launch { offer(exchange(source, link, report)) }
+    }
+
+    private suspend fun exchange(source: VmId, link: HttpLink, report: ProxyReport): ReportMessage {
+        val askedMillis = clock.nowMillis()
+        val body = PeerJson.encodeToString(ProxyReport.serializer(), report)
+        val reply = link.post(PATH, body, TIMEOUT_MILLIS).getOrElse { return ReportMessage.Failed(source, it.detail) }
+        if (!reply.isSuccess) return ReportMessage.Failed(source, "status ${reply.status}")
+        return try {
+            ReportMessage.Answered(source, askedMillis, PeerJson.decodeFromString(ProxyNews.serializer(), reply.body))
+        } catch (e: SerializationException) {
+            ReportMessage.Failed(source, "the answer can't be read: ${e.message.orEmpty().lineSequence().first()}")
+        }
+    }
+
+    private fun reportOf(view: ProxyView) = ProxyReport(
+        vm = vm,
+        tableVersion = view.table?.version ?: 0,
+        controlTerm = view.controlTerm,
+        directoryRevision = view.directoryRevision,
+        demand = demand.current(),
+        unreachable = unreachable(),
+    )
+
+    private fun linkTo(source: VmId): HttpLink {
+        connections[source]?.let { return it }
+        return links.open(addressOf(source)).also { connections = connections.put(source, it) }
+    }
+
+    internal companion object {
+        const val PATH = "/internal/proxy/report"
+
+        /** Time that the leader may hold a question back, and some for the way; in ms. */
+        private const val TIMEOUT_MILLIS = 900L
+
+        /** In ms. */
+        private const val RETRY_MILLIS = 100L
+
+        /** Shortest time between two questions that were not held back; in ms. */
+        private const val SHORTEST_MILLIS = 200L
+        private val logger = KotlinLogging.logger {}
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/buckthornhub/daemon/ControlVmAssembly.kt
@@ -0,0 +1,90 @@
+package org.buckthornhub.daemon
+
+import com.github.michaelbull.result.getOrElse
+import kotlinx.coroutines.CoroutineScope
+import org.buckthornhub.clock.Clock
+import org.buckthornhub.control.ControlMessage
+import org.buckthornhub.control.ControlRoutes
+import org.buckthornhub.control.ControlTask
+import org.buckthornhub.control.FolderStorage
+import org.buckthornhub.control.MemberLinks
+import org.buckthornhub.control.RouteTableDesk
+import org.buckthornhub.coordination.AnnouncementDesk
+import org.buckthornhub.coordination.CoordinatorTask
+import org.buckthornhub.coordination.ReportRoutes
+import org.buckthornhub.failover.InstanceSurvey
+import org.buckthornhub.failover.PromotionOrders
+import org.buckthornhub.fleet.VmId
+import org.buckthornhub.http.HttpLink
+import org.buckthornhub.http.HttpServer
+import org.buckthornhub.peer.PeerAuthority
+import org.buckthornhub.replication.ReplicationMessage
+import org.buckthornhub.replication.ReplicationSettings
+import org.buckthornhub.replication.ReplicationState
+import java.io.File
+
+/** Builds a control VM: a member of the quorum or one that stands by, and the coordinator for when it leads. */
+public class ControlVmAssembly(
+    private val settings: ControlVmSettings,
+    survey: InstanceSurvey,
+    orders: PromotionOrders,
+    links: HttpLink.Factory,
+    private val clock: Clock,
+) {
+    private val authority = PeerAuthority.open()
+    private val memberLinks = MemberLinks(settings.vm, { "${it.value}:${settings.port}" }, links, authority) { message ->
+        control.offer(ControlMessage.Replicate(ReplicationMessage.Received(message)))
+    }
+    private val control: ControlTask = openControl()
+    private val coordinator = CoordinatorTask(settings.vm, control, survey, orders, clock)
+    private val leaderLink = MemberLeaderLink(control.leadership, { "${it.value}:${settings.port}" }, links)
+
+    /** Route tables of operators, on whichever control VM they arrive. */
+    public val routeTables: RouteTableDesk = RouteTableDesk(control, leaderLink)
+
+    /** Announcements of instances, on whichever control VM they arrive. */
+    public val announcements: AnnouncementDesk = AnnouncementDesk(settings.vm, control, coordinator, leaderLink)
+    private val server: HttpServer =
+        HttpServer(
+            settings.vm.value,
+            settings.port,
+            ControlRoutes(control, authority).routes() +
+                ReportRoutes(control, coordinator, control.memberVms, clock).routes() +
+                routeTables.routes() +
+                announcements.routes(),
+        )
+
+    public fun start(scope: CoroutineScope) {
+        memberLinks.start(scope)
+        control.start(scope)
+        coordinator.start(scope)
+        server.start()
+    }
+
+    /** Names other VMs that know the quorum. */
+    public fun introduce(vms: List<VmId>) {
+        control.offer(ControlMessage.Replicate(ReplicationMessage.Introduced(vms.toSet())))
+    }
+
+    private fun openControl(): ControlTask {
+        val opened = FolderStorage.open(File(settings.dataFolder), settings.vm).getOrElse { error(it.detail) }
+        val replication =
+            ReplicationSettings(
+                vms = settings.introducers.toSet(),
+                mayForm = settings.isFirstStart,
+                isOpen = true,
+                heartbeatMillis = HEARTBEAT_MILLIS,
+                electionMillis = ELECTION_MILLIS,
+            )
+        val seed = clock.wallMillis() xor settings.vm.hashCode().toLong()
+        return ControlTask(ReplicationState(opened.self, replication, seed, opened.state), opened.storage, memberLinks, clock)
+    }
+
+    private companion object {
+        /** Bounds the age of the proof that daemons get with each answer; in ms. */
+        const val HEARTBEAT_MILLIS = 150L
+
+        /** Several heartbeats, so that a slow disk or a busy processor starts no election; in ms. */
+        const val ELECTION_MILLIS = 700L
+    }
+}
--- a/daemon/src/main/kotlin/org/buckthornhub/daemon/DaemonAssembly.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/daemon/DaemonAssembly.kt
@@ -16,6 +16,7 @@
 import org.buckthornhub.lease.LeaseAssembly
 import org.buckthornhub.limit.AdmitInterceptor
 import org.buckthornhub.limit.LimitAssembly
+import org.buckthornhub.liveness.LivenessRoutes
 import org.buckthornhub.observe.ObserveAssembly
 import org.buckthornhub.organisation.AuthenticateInterceptor
 import org.buckthornhub.organisation.AuthorizeInterceptor
@@ -23,7 +24,6 @@
 import org.buckthornhub.organisation.OperatorAuthority
 import org.buckthornhub.peer.PeerAuthority
 import org.buckthornhub.peer.ZonedLinks
-import org.buckthornhub.platform.PlatformRoutes
 import org.buckthornhub.proxy.Interceptor
 import org.buckthornhub.proxy.Proxy
 import org.buckthornhub.session.ResumeSessionInterceptor
@@ -95,7 +95,7 @@
             leases.routes +
             limits.routes +
             observe.routes +
-            PlatformRoutes { isReady() && control.isReady() }.routes()
+            LivenessRoutes { isReady() && control.isReady() }.routes()
     }
 
     private fun interceptors(): PersistentList<Interceptor> = persistentListOf(
--- /dev/null
+++ b/daemon/src/main/kotlin/org/buckthornhub/daemon/SessionProxyAssembly.kt
@@ -0,0 +1,114 @@
+package org.buckthornhub.daemon
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.distinctUntilChangedBy
+import kotlinx.coroutines.launch
+import org.buckthornhub.clock.Clock
+import org.buckthornhub.connection.ClientLink
+import org.buckthornhub.connection.SessionEnvironment
+import org.buckthornhub.connection.SessionSettings
+import org.buckthornhub.connection.SessionTask
+import org.buckthornhub.connection.TargetLink
+import org.buckthornhub.coordination.ProxyView
+import org.buckthornhub.coordination.ReportMessage
+import org.buckthornhub.coordination.ReportTask
+import org.buckthornhub.decisionlog.DecisionLog
+import org.buckthornhub.fleet.VmId
+import org.buckthornhub.group.GroupId
+import org.buckthornhub.horizon.HorizonMessage
+import org.buckthornhub.horizon.HorizonTask
+import org.buckthornhub.http.HttpLink
+import org.buckthornhub.instancepool.PoolCommand
+import org.buckthornhub.instancepool.PoolMessage
+import org.buckthornhub.instancepool.PoolSettings
+import org.buckthornhub.instancepool.PoolTask
+import org.buckthornhub.quota.MeterTask
+import org.buckthornhub.target.TargetRole
+
+/** Builds a daemon that serves sessions on connections, for whatever front end hands them over. */
+public class SessionProxyAssembly(
+    private val settings: SessionProxySettings,
+    targets: TargetLink.Factory,
+    links: HttpLink.Factory,
+    private val clock: Clock,
+    decisions: DecisionLog = DecisionLog.NONE,
+) {
+    private val pool = PoolTask(PoolSettings(settings.zone, settings.leaderDrainMillis), targets, clock)
+    private val horizons = HorizonTask(pool, clock)
+    private val meter = MeterTask(clock)
+    private val report =
+        ReportTask(settings.vm, { "${it.value}:${settings.controlPort}" }, links, meter, { horizons.unreachable() }, clock)
+    private val leaving = Job()
+    private val stopping = Job()
+    private val environment =
+        SessionEnvironment(
+            SessionSettings(settings.keyFreshMillis, tolerance = settings.tolerance),
+            report.view,
+            pool,
+            horizons,
+            meter,
+            leaving,
+            decisions,
+            clock,
+        )
+    private lateinit var scope: CoroutineScope
+
+    /** True while callers may be sent here. */
+    public fun isReady(): Boolean = stopping.isActive &&
+        report.view.value.table != null &&
+        report.view.value.isFresh(clock.nowMillis(), settings.keyFreshMillis)
+
+    public fun start(scope: CoroutineScope) {
+        this.scope = scope
+        listOf(pool, horizons, meter, report).forEach { it.start(scope) }
+        introduce(settings.introducers)
+        scope.launch { report.view.distinctUntilChangedBy { listOf(it.directory, it.table?.version, it.proxies) }.collect { follow(it) } }
+    }
+
+    /** Names other control VMs to ask first. */
+    public fun introduce(vms: List<VmId>) {
+        report.offer(ReportMessage.Introducers(vms))
+    }
+
+    /** Serves the caller behind [link] until one of them ends. */
+    public fun serve(link: ClientLink) {
+        SessionTask(link, environment).start(scope)
+    }
+
+    /** Lets callers leave and open transactions end; returns when the process may end. */
+    public suspend fun stop() {
+        stopping.cancel()
+        // Callers that leave now would come back here until the balancer has noticed.
+        delay(minOf(NOTICE_MILLIS, settings.graceMillis / 2))
+        leaving.complete()
+        delay((settings.graceMillis - NOTICE_MILLIS - EXIT_MILLIS).coerceAtLeast(0))
+    }
+
+    private fun follow(view: ProxyView) {
+        val records = view.directory.records.values
+        pool.offer(PoolCommand.Decide(PoolMessage.Directory(records)))
+        val leaders = records.filter { it.role == TargetRole.PRIMARY }.sortedBy { it.bornMillis }.associate { it.group to it.target }
+        horizons.offer(HorizonMessage.Leaders(leaders))
+        pool.offer(PoolCommand.Decide(PoolMessage.Limits(limits(view))))
+    }
+
+    private fun limits(view: ProxyView): Map<GroupId, Int> = view.table?.groups.orEmpty().mapValues { (_, limits) ->
+        ((limits.maxConnections - RESERVED_CONNECTIONS) / maxOf(view.proxies, FEWEST_PROXIES)).coerceAtLeast(1)
+    }
+
+    private companion object {
+        /** Two missed questions of a balancer that asks every second. */
+        const val NOTICE_MILLIS = 2_200L
+
+        /** Time to end before the process is killed. */
+        const val EXIT_MILLIS = 700L
+
+        /** Connections of an instance that are left to control VMs and to daemons that just started. */
+        const val RESERVED_CONNECTIONS = 3
+
+        /** A fleet that has not yet heard of all its daemons is taken to be at least this large. */
+        const val FEWEST_PROXIES = 7
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/buckthornhub/decisionlog/DecisionEvent.kt
@@ -0,0 +1,70 @@
+package org.buckthornhub.decisionlog
+
+import org.buckthornhub.error.ProxyError
+import org.buckthornhub.organisation.OrganisationId
+import org.buckthornhub.routetable.DatabaseName
+import org.buckthornhub.statement.RequestId
+import org.buckthornhub.target.TargetId
+
+/** The closed list of decisions that are logged, each with what decided it. Times are in ms. */
+public sealed interface DecisionEvent {
+    public val name: String
+
+    /** What decided it, by name; values are written as they are. */
+    public val fields: Map<String, Any?>
+
+    /** True for what happens all the time while all is well; it is the first to be left out under load. */
+    public val isRoutine: Boolean get() = false
+
+    /** A statement got an error. @property tableVersion of the route table, whose proof of freshness is [tableAgeMillis] old */
+    public data class RequestFailed(
+        val id: RequestId?,
+        val database: DatabaseName,
+        val organisation: OrganisationId?,
+        val error: ProxyError,
+        val tookMillis: Long,
+        val tableVersion: Long?,
+        val tableAgeMillis: Long?,
+    ) : DecisionEvent {
+        override val name: String get() = "request-failed"
+        override val fields: Map<String, Any?> get() = mapOf(
+            "request" to id?.value,
+            "database" to database.value,
+            "organisation" to organisation?.value,
+            "kind" to error.kind,
+            "detail" to error.detail,
+            "retry_after_ms" to error.retryAfterMillis,
+            "took_ms" to tookMillis,
+            "table_version" to tableVersion,
+            "table_age_ms" to tableAgeMillis,
+        )
+    }
+
+    /** A statement ran. @property waitedMillis for a connection to [target]; null inside a transaction */
+    public data class RequestServed(
+        val id: RequestId,
+        val database: DatabaseName,
+        val tookMillis: Long,
+        val target: TargetId? = null,
+        val waitedMillis: Long? = null,
+    ) : DecisionEvent {
+        override val name: String get() = "request-served"
+        override val fields: Map<String, Any?> get() = mapOf(
+            "request" to id.value,
+            "database" to database.value,
+            "took_ms" to tookMillis,
+            "target" to target?.value,
+            "waited_ms" to waitedMillis,
+        )
+        override val isRoutine: Boolean get() = true
+    }
+
+    /** A caller's transaction was idle for too long. */
+    public data class TransactionExpired(
+        val database: DatabaseName,
+        val idleMillis: Long,
+    ) : DecisionEvent {
+        override val name: String get() = "transaction-expired"
+        override val fields: Map<String, Any?> get() = mapOf("database" to database.value, "idle_ms" to idleMillis)
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/buckthornhub/horizon/GroupHorizon.kt
@@ -0,0 +1,19 @@
+package org.buckthornhub.horizon
+
+import org.buckthornhub.target.TargetId
+
+/**
+ * What is known of the leader of one group.
+ *
+ * @property leaderSinceMillis since when [leader] has been known as such
+ * @property isAsking true while a question to it is open
+ */
+internal data class GroupHorizon(
+    val horizon: CommitHorizon = CommitHorizon(),
+    val leader: TargetId? = null,
+    val leaderSinceMillis: Long = 0,
+    val isAsking: Boolean = false,
+) {
+    /** When the leader last answered, or was named. */
+    val heardMillis: Long get() = maxOf(horizon.newest?.askedMillis ?: 0, leaderSinceMillis)
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/buckthornhub/horizon/HorizonTask.kt
@@ -0,0 +1,125 @@
+package org.buckthornhub.horizon
+
+import com.github.michaelbull.result.getOrElse
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.buckthornhub.clock.Clock
+import org.buckthornhub.connection.TargetRefusal
+import org.buckthornhub.connection.TargetReply
+import org.buckthornhub.connection.TargetStatement
+import org.buckthornhub.fleet.StateSource
+import org.buckthornhub.group.GroupId
+import org.buckthornhub.group.Position
+import org.buckthornhub.instancepool.ConnectionNeed
+import org.buckthornhub.instancepool.ConnectionWant
+import org.buckthornhub.instancepool.PoolCommand
+import org.buckthornhub.instancepool.PoolMessage
+import org.buckthornhub.instancepool.PoolTask
+import org.buckthornhub.target.TargetId
+import org.buckthornhub.task.Task
+import org.buckthornhub.task.startTicker
+
+/** Knows up to where each group has committed, by asking its leader where the sessions don't. */
+internal class HorizonTask(
+    private val pool: PoolTask,
+    private val clock: Clock,
+) : Task<HorizonMessage>("horizon"),
+    StateSource<Map<GroupId, GroupHorizon>> {
+    private val published = MutableStateFlow<PersistentMap<GroupId, GroupHorizon>>(persistentMapOf())
+    private lateinit var scope: CoroutineScope
+
+    override fun current(): Map<GroupId, GroupHorizon> = published.value
+
+    /** Leaders that have given no answer for [SILENT_MILLIS]. */
+    fun unreachable(): Set<TargetId> = published.value.values
+        .filter { clock.nowMillis() - it.heardMillis > SILENT_MILLIS }
+        .mapNotNull { it.leader }
+        .toSet()
+
+    /** Tells of an answer to a statement that only a leader runs; [askedMillis] is from before it was sent. */
+    fun learn(group: GroupId, askedMillis: Long, position: Position?) {
+        if (position != null) offer(HorizonMessage.Learned(group, HorizonSample(askedMillis, position)))
+    }
+
+    /** The position for [floorOf], waiting up to [waitMillis] for an answer of the leader if there is none yet. */
+    suspend fun awaitFloor(group: GroupId, waitMillis: Long, floorOf: (CommitHorizon) -> Position?): Position? {
+        published.value[group]?.let { floorOf(it.horizon) }?.let { return it }
+        offer(HorizonMessage.Needed(group))
+        return withTimeoutOrNull(waitMillis) {
+            published.first { state -> state[group]?.let { floorOf(it.horizon) } != null }[group]?.let { floorOf(it.horizon) }
+        }
+    }
+
+    override suspend fun onStart(scope: CoroutineScope) {
+        this.scope = scope
+        scope.startTicker(this, TICK_MILLIS, HorizonMessage.Tick)
+    }
+
+    override suspend fun handle(message: HorizonMessage): Unit = when (message) {
+        is HorizonMessage.Learned -> update(message.group) { copy(horizon = horizon.with(message.sample)) }
+        is HorizonMessage.Asked -> update(message.group) { copy(isAsking = false) }
+        is HorizonMessage.Needed -> ask(message.group)
+        is HorizonMessage.Leaders -> leaders(message.leaders)
+        is HorizonMessage.Tick -> published.value.filter { (_, it) -> isDue(it) }.keys.forEach { ask(it) }
+    }
+
+    private fun isDue(group: GroupHorizon) =
+        group.leader != null && clock.nowMillis() - (group.horizon.newest?.askedMillis ?: 0) > PROBE_MILLIS
+
+    private fun leaders(leaders: Map<GroupId, TargetId>) {
+        val nowMillis = clock.nowMillis()
+        (published.value.keys + leaders.keys).forEach { group ->
+            val leader = leaders[group]
+            update(group) { if (leader == this.leader) this else copy(leader = leader, leaderSinceMillis = nowMillis) }
+        }
+    }
+
+    private fun update(group: GroupId, change: GroupHorizon.() -> GroupHorizon) {
+        published.value = published.value.put(group, (published.value[group] ?: GroupHorizon()).change())
+    }
+
+    private fun ask(group: GroupId) {
+        val known = published.value[group] ?: return
+        if (known.isAsking || known.leader == null) return
+        update(group) { copy(isAsking = true) }
+        scope.launch {
+            probe(group)
+            report(HorizonMessage.Asked(group))
+        }
+    }
+
+    // Only a leader begins a transaction that may write, so its answer shows that it led at that moment.
+    private suspend fun probe(group: GroupId) {
+        val want = ConnectionWant(group, organisation = null, ConnectionNeed.Leader)
+        val lease = pool.acquire(want, clock.nowMillis() + TIMEOUT_MILLIS).getOrElse { return }
+        val askedMillis = clock.nowMillis()
+        val reply = lease.run(TargetStatement.Begin(readOnly = false, floor = null), TIMEOUT_MILLIS).getOrElse { return lease.giveBack() }
+        if (reply is TargetReply.Refused && reply.refusal == TargetRefusal.NOT_LEADING) {
+            pool.offer(PoolCommand.Decide(PoolMessage.Demoted(lease.instance.target)))
+        }
+        if (reply is TargetReply.Completed) {
+            learn(group, askedMillis, reply.position)
+            lease.run(TargetStatement.RollBack, TIMEOUT_MILLIS)
+        }
+        lease.giveBack()
+    }
+
+    private companion object {
+        /** A leader is asked if no session has had an answer for so long; a fifth of the shortest age that routes allow, in ms. */
+        const val PROBE_MILLIS = 300L
+
+        /** In ms. */
+        const val TICK_MILLIS = 100L
+
+        /** A leader that is silent for this long does not serve; in ms. */
+        const val TIMEOUT_MILLIS = 500L
+
+        /** Two unanswered questions and a connect; in ms. */
+        const val SILENT_MILLIS = 1_200L
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/buckthornhub/instancepool/PoolTask.kt
@@ -0,0 +1,143 @@
+package org.buckthornhub.instancepool
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getOrElse
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import org.buckthornhub.clock.Clock
+import org.buckthornhub.connection.TargetLink
+import org.buckthornhub.error.ErrorKind
+import org.buckthornhub.error.ProxyError
+import org.buckthornhub.task.Task
+import org.buckthornhub.task.startTicker
+
+/** Owns the connections to instances and lends them to sessions. */
+internal class PoolTask(
+    settings: PoolSettings,
+    private val links: TargetLink.Factory,
+    private val clock: Clock,
+) : Task<PoolCommand>("pool") {
+    private val decider = PoolDecider(settings)
+    private var state = PoolState()
+    private var open: PersistentMap<ConnectionId, TargetLink> = persistentMapOf()
+    private var asking: PersistentMap<Long, PoolCommand.Acquire> = persistentMapOf()
+    private var nextToken = 0L
+    private lateinit var scope: CoroutineScope
+
+    /** Lends a connection, or answers `NO_PRIMARY` or `QUEUE_FULL` once [deadlineMillis] has passed. */
+    suspend fun acquire(want: ConnectionWant, deadlineMillis: Long): Result<TargetLease, ProxyError> {
+        val answer = CompletableDeferred<Result<TargetLease, ProxyError>>()
+        if (!offer(
+                PoolCommand.Acquire(want, clock.nowMillis(), deadlineMillis, answer),
+            )
+        ) {
+            return Err(ProxyError(ErrorKind.QUEUE_FULL, "the pool is overloaded"))
+        }
+        var isTaken = false
+        try {
+            return answer.await().also { isTaken = true }
+        } finally {
+            // The session may have ended while its connection was on its way.
+            if (!isTaken) answer.invokeOnCompletion { if (it == null) answer.getCompleted().get()?.giveBack() }
+        }
+    }
+
+    override suspend fun onStart(scope: CoroutineScope) {
+        this.scope = scope
+        scope.startTicker(this, TICK_MILLIS, PoolCommand.Decide(PoolMessage.Tick))
+    }
+
+    override suspend fun handle(message: PoolCommand): Unit = when (message) {
+        is PoolCommand.Decide -> decide(message.message)
+        is PoolCommand.Acquire -> {
+            asking = asking.put(++nextToken, message)
+            decide(PoolMessage.Acquire(WaitingWant(nextToken, message.want, message.deadlineMillis)))
+        }
+        is PoolCommand.LinkOpened -> {
+            open = open.put(message.connection, message.link)
+            decide(message.message)
+        }
+    }
+
+    override fun onEnd(): Unit = open.values.forEach { it.close() }
+
+    private fun decide(message: PoolMessage) {
+        if (message is PoolMessage.Returned && message.state == null || message is PoolMessage.Closed) forget(message)
+        val decision = decider.decide(state, message, clock.nowMillis())
+        state = decision.state
+        decision.effects.forEach { carryOut(it) }
+    }
+
+    private fun forget(message: PoolMessage) {
+        val connection = (message as? PoolMessage.Returned)?.connection ?: (message as? PoolMessage.Closed)?.connection ?: return
+        close(connection)
+    }
+
+    private fun close(connection: ConnectionId) {
+        open[connection]?.close()
+        open = open.remove(connection)
+    }
+
+    private fun carryOut(effect: PoolEffect): Unit = when (effect) {
+        is PoolEffect.Open -> {
+            scope.launch { connect(effect) }
+            Unit
+        }
+        is PoolEffect.Close -> close(effect.connection)
+        is PoolEffect.Lend -> lend(effect)
+        is PoolEffect.Refuse -> answer(effect.token, Err(refusal(effect)))
+    }
+
+    private fun lend(effect: PoolEffect.Lend) {
+        val link = open[effect.connection.id]?.takeIf { it.isOpen }
+        val waitedMillis = asking[effect.token]?.let { clock.nowMillis() - it.askedMillis } ?: 0
+        val lease = link?.let { TargetLease(effect.connection, effect.instance, waitedMillis, it, this) }
+        val result = lease?.let { Ok(it) } ?: Err(ProxyError(ErrorKind.NO_TARGET, "the connection to ${effect.instance.target} ended"))
+        answer(effect.token, result)
+        if (lease == null) offer(PoolCommand.Decide(PoolMessage.Returned(effect.connection.id, effect.connection.target, null, null)))
+    }
+
+    private fun answer(token: Long, result: Result<TargetLease, ProxyError>) {
+        asking[token]?.answer?.complete(result)
+        asking = asking.remove(token)
+    }
+
+    private fun refusal(effect: PoolEffect.Refuse): ProxyError = if (effect.isLeaderless) {
+        ProxyError(ErrorKind.NO_PRIMARY, "no instance is known to lead", retryAfterMillis = LEADERLESS_RETRY_MILLIS)
+    } else {
+        ProxyError(ErrorKind.QUEUE_FULL, "no connection became free in time", retryAfterMillis = BUSY_RETRY_MILLIS)
+    }
+
+    private suspend fun connect(effect: PoolEffect.Open) {
+        val target = effect.instance.target
+        val onEnd: () -> Unit = { offer(PoolCommand.Decide(PoolMessage.Closed(effect.connection, target))) }
+        val link = links.open(effect.instance, effect.organisation, CONNECT_TIMEOUT_MILLIS, onEnd).getOrElse { failure ->
+            logger.debug { "no connection to $target at ${effect.instance.address}: ${failure.detail}" }
+            report(PoolCommand.Decide(PoolMessage.OpenFailed(effect.connection, target, failure.isFull)))
+            return
+        }
+        report(PoolCommand.LinkOpened(effect.connection, link, PoolMessage.Opened(effect.connection, target, link.position)))
+    }
+
+    private companion object {
+        /** How exactly deadlines of waiting sessions are kept, in ms. */
+        const val TICK_MILLIS = 20L
+
+        /** A connection takes 12 ms and a slot; a dark instance must not hold a session up for long. In ms. */
+        const val CONNECT_TIMEOUT_MILLIS = 500L
+
+        /** A promotion takes some hundred ms. */
+        const val LEADERLESS_RETRY_MILLIS = 500L
+
+        /** A few statements take this long. */
+        const val BUSY_RETRY_MILLIS = 100L
+        val logger = KotlinLogging.logger {}
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/buckthornhub/instancepool/TargetLease.kt
@@ -0,0 +1,83 @@
+package org.buckthornhub.instancepool
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getOrElse
+import org.buckthornhub.connection.ConnectionSetup
+import org.buckthornhub.connection.PreparedStatement
+import org.buckthornhub.connection.SessionPhase
+import org.buckthornhub.connection.SessionState
+import org.buckthornhub.connection.TargetConnectionState
+import org.buckthornhub.connection.TargetLink
+import org.buckthornhub.connection.TargetLinkFailure
+import org.buckthornhub.connection.TargetReply
+import org.buckthornhub.connection.TargetStatement
+import org.buckthornhub.directory.InstanceRecord
+import org.buckthornhub.group.Position
+import org.buckthornhub.task.Mailbox
+
+/**
+ * A connection that one session has to itself until it gives it back.
+ *
+ * @property waitedMillis how long the session waited for it
+ */
+internal class TargetLease(
+    private val connection: PoolConnection,
+    val instance: InstanceRecord,
+    val waitedMillis: Long,
+    private val link: TargetLink,
+    private val pool: Mailbox<PoolCommand>,
+) {
+    private var state: TargetConnectionState = connection.state
+    private var applied: Position? = null
+    private var isUsable = true
+    private var isSilent = false
+    private var isReturned = false
+
+    suspend fun run(statement: TargetStatement, timeoutMillis: Long): Result<TargetReply, TargetLinkFailure> {
+        val reply = link.run(statement, timeoutMillis).getOrElse { failure ->
+            isUsable = false
+            isSilent = failure.isSilent
+            return Err(failure)
+        }
+        applied = reply.position ?: applied
+        isUsable = reply.phase == SessionPhase.IDLE
+        return Ok(reply)
+    }
+
+    /** Brings the connection to what [session] was promised; answers the name of [needed] on it, or the reply that refused. */
+    suspend fun prepare(session: SessionState, needed: PreparedStatement?, timeoutMillis: Long): Result<String?, TargetLinkFailure> {
+        val setup = ConnectionSetup.between(state, session, needed)
+        for (step in setup.steps) {
+            val reply = run(TargetStatement.Setup(step), timeoutMillis).getOrElse { return Err(it) }
+            if (reply is TargetReply.Refused) {
+                isUsable = false
+                return Err(
+                    TargetLinkFailure(
+                        mayHaveRun = false,
+                        isSilent = false,
+                        "${instance.target} refused to set up a session: ${reply.detail}",
+                    ),
+                )
+            }
+        }
+        state = setup.state
+        return Ok(needed?.let { setup.state.prepared[it] })
+    }
+
+    /** Gives the connection back; one with an open transaction or in doubt is closed. */
+    fun giveBack() {
+        if (isReturned) return
+        isReturned = true
+        val kept = state.takeIf { isUsable && link.isOpen }
+        pool.offer(PoolCommand.Decide(PoolMessage.Returned(connection.id, connection.target, kept, applied, isSilent)))
+    }
+
+    /** Ends the connection, which makes the target roll back. */
+    fun abandon() {
+        isUsable = false
+        link.close()
+        giveBack()
+    }
+}
--- a/daemon/src/main/kotlin/org/buckthornhub/liveness/LivenessRoutes.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/liveness/LivenessRoutes.kt
@@ -1,11 +1,11 @@
-package org.buckthornhub.platform
+package org.buckthornhub.liveness
 
 import io.ktor.http.HttpMethod
 import org.buckthornhub.http.HttpReply
 import org.buckthornhub.http.Route
 
 /** What the platform asks: whether this process lives, and whether the balancer may send it callers. */
-internal class PlatformRoutes(private val isReady: () -> Boolean) {
+internal class LivenessRoutes(private val isReady: () -> Boolean) {
     fun routes(): List<Route> = listOf(
         Route(HttpMethod.Get, "/live") { HttpReply(OK, "{\"live\":true}") },
         Route(HttpMethod.Get, "/ready") { ready() },
--- a/daemon/src/test/kotlin/org/buckthornhub/caller/ApiDocumentTest.kt
+++ b/daemon/src/test/kotlin/org/buckthornhub/caller/ApiDocumentTest.kt
@@ -9,7 +9,7 @@
 import org.buckthornhub.clock.SystemClock
 import org.buckthornhub.error.ErrorKind
 import org.buckthornhub.error.Execution
-import org.buckthornhub.platform.PlatformRoutes
+import org.buckthornhub.liveness.LivenessRoutes
 import org.buckthornhub.proxy.Proxy
 import org.buckthornhub.session.SessionCodec
 import org.buckthornhub.statement.Access
@@ -29,7 +29,7 @@
     @Test
     fun `documents every route`() {
         val proxy = Proxy(persistentListOf())
-        val served = CallerRoutes(proxy, SessionCodec("secret-of-this-test"), SystemClock, 1).routes() + PlatformRoutes { true }.routes()
+        val served = CallerRoutes(proxy, SessionCodec("secret-of-this-test"), SystemClock, 1).routes() + LivenessRoutes { true }.routes()
         val documented =
             (document["paths"] as Map<*, *>).flatMap { (path, item) ->
                 (item as Map<*, *>).keys.filter { it != "parameters" }.map { "${it.toString().uppercase()} $path" }
