--- a/core/src/test/kotlin/org/buckthornhub/replication/OpenQuorumTest.kt
+++ b/core/src/test/kotlin/org/buckthornhub/replication/OpenQuorumTest.kt
@@ -49,7 +49,9 @@
             ReplicationSettings(vms = setOf(VmId("vm1")), mayForm = false, isOpen = true),
             seed = 1,
         )
-        val after = (0L..5_000L step 100).fold(state) { it, now -> ReplicationDecider().decide(it, ReplicationMessage.Tick, now).state }
+        val after = (0L..5_000L step 100).fold(state) { known, now ->
+            ReplicationDecider().decide(known, ReplicationMessage.Tick, now).state
+        }
         assertTrue(after.log.members.isEmpty())
     }
 
--- a/daemon/src/main/kotlin/org/buckthornhub/connection/SessionTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/SessionTask.kt
@@ -37,7 +37,7 @@
         try {
             if (open()) serve()
         } finally {
-            transaction?.abandon()
+            transaction?.rollBack()
             link.close()
         }
     }
--- a/daemon/src/main/kotlin/org/buckthornhub/connection/TransactionRun.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/TransactionRun.kt
@@ -48,7 +48,8 @@
             val error = aborted(lease, failure)
             return Err(if (open.hasWritten && failure.mayHaveRun) error.copy(kind = ErrorKind.OUTCOME_UNKNOWN) else error)
         }
-        return settle(lease, reply, askedMillis).also { lease.giveBack() }
+        if (reply is TargetReply.Completed) release(lease)
+        return settle(lease, reply, askedMillis)
     }
 
     /** Has the target roll back, without waiting for it. */
@@ -61,12 +62,6 @@
         }
     }
 
-    /** Ends the connection to the target, which makes it roll back. */
-    fun abandon() {
-        lease?.abandon()
-        lease = null
-    }
-
     private fun settle(lease: TargetLease, reply: TargetReply, askedMillis: Long): Result<TargetReply.Completed, ProxyError> {
         if (reply is TargetReply.Completed) {
             // Whatever runs in a transaction that may write shows that the instance still led.
@@ -75,13 +70,19 @@
         }
         val refused = reply as TargetReply.Refused
         if (refused.refusal == TargetRefusal.NOT_LEADING) demote(lease.instance.target)
-        rollBack()
+        // A refused commit may have ended the transaction already.
+        if (refused.phase == SessionPhase.IDLE) release(lease) else rollBack()
         return Err(TargetErrors.of(lease.instance.target, refused))
     }
 
+    private fun release(ended: TargetLease) {
+        lease = null
+        ended.giveBack()
+    }
+
     private fun aborted(lease: TargetLease, failure: TargetLinkFailure): ProxyError {
         this.lease = null
-        lease.abandon()
+        lease.giveBack()
         return ProxyError(ErrorKind.TRANSACTION_ABORTED, "${lease.instance.target} was lost in a transaction: ${failure.detail}")
     }
 
--- a/daemon/src/main/kotlin/org/buckthornhub/instancepool/TargetLease.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/instancepool/TargetLease.kt
@@ -73,11 +73,4 @@
         val kept = state.takeIf { isUsable && link.isOpen }
         pool.offer(PoolCommand.Decide(PoolMessage.Returned(connection.id, connection.target, kept, applied, isSilent)))
     }
-
-    /** Ends the connection, which makes the target roll back. */
-    fun abandon() {
-        isUsable = false
-        link.close()
-        giveBack()
-    }
 }
--- /dev/null
+++ b/daemon/src/test/kotlin/org/buckthornhub/connection/FakeFleet.kt
@@ -0,0 +1,102 @@
+package org.buckthornhub.connection
+
+import com.github.michaelbull.result.Ok
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.currentTime
+import org.buckthornhub.clock.Clock
+import org.buckthornhub.coordination.ProxyView
+import org.buckthornhub.decisionlog.DecisionLog
+import org.buckthornhub.directory.InstanceDirectory
+import org.buckthornhub.fleet.ZoneId
+import org.buckthornhub.group.GroupId
+import org.buckthornhub.horizon.HorizonMessage
+import org.buckthornhub.horizon.HorizonTask
+import org.buckthornhub.instancepool.PoolCommand
+import org.buckthornhub.instancepool.PoolMessage
+import org.buckthornhub.instancepool.PoolSettings
+import org.buckthornhub.instancepool.PoolTask
+import org.buckthornhub.organisation.ApiKey
+import org.buckthornhub.organisation.KeyDigest
+import org.buckthornhub.organisation.OrganisationId
+import org.buckthornhub.quota.MeterTask
+import org.buckthornhub.routetable.DatabaseName
+import org.buckthornhub.routetable.DatabaseRoute
+import org.buckthornhub.routetable.GroupLimits
+import org.buckthornhub.routetable.OrganisationAccess
+import org.buckthornhub.routetable.ReadGuarantee
+import org.buckthornhub.routetable.RouteTable
+import org.buckthornhub.target.TargetRole
+
+/** The tasks of one daemon on virtual time, in front of instances that the test made. */
+internal class FakeFleet(
+    private val scope: TestScope,
+    private val instances: List<FakeInstance>,
+) {
+    private val clock = object : Clock {
+        override fun nowMillis(): Long = scope.currentTime + START_MILLIS
+
+        override fun wallMillis(): Long = nowMillis()
+    }
+    private val pool = PoolTask(
+        PoolSettings(ZoneId("a")),
+        { instance, _, _, _ -> Ok(FakeLink(instances.first { it.record.target == instance.target })) },
+        clock,
+    )
+    private val horizons = HorizonTask(pool, clock)
+    private val meter = MeterTask(clock)
+    private val view = MutableStateFlow(ProxyView(table, freshMillis = clock.nowMillis(), directory = directory()))
+    private val environment =
+        SessionEnvironment(SessionSettings(), view, pool, horizons, meter, Job(), DecisionLog.NONE, clock)
+
+    fun start() {
+        listOf(pool, horizons, meter).forEach { it.start(scope.backgroundScope) }
+        pool.offer(PoolCommand.Decide(PoolMessage.Limits(mapOf(GroupId("g") to 2))))
+        pool.offer(PoolCommand.Decide(PoolMessage.Directory(instances.map { it.record })))
+        horizons.offer(
+            HorizonMessage.Leaders(
+                instances.filter { it.role == TargetRole.PRIMARY }.associate {
+                    it.record.group to
+                        it.record.target
+                },
+            ),
+        )
+    }
+
+    fun caller(): FakeCaller = FakeCaller().also { SessionTask(it, environment).start(scope.backgroundScope) }
+
+    /** Replaces the route table, as the control quorum would. */
+    fun change(change: RouteTable.() -> RouteTable) {
+        view.value = view.value.copy(table = view.value.table?.change())
+    }
+
+    /** Hears from the control quorum. */
+    fun freshen() {
+        view.value = view.value.copy(freshMillis = clock.nowMillis())
+    }
+
+    private fun directory() = instances.fold(InstanceDirectory()) { directory, it -> directory.with(it.record) }
+
+    private companion object {
+        const val START_MILLIS = 10_000L
+
+        private fun route(name: String, guarantee: ReadGuarantee) =
+            DatabaseRoute(name, DatabaseName(name), GroupId("g"), guarantee, statementTimeoutMillis = 800, objectiveMillis = 400)
+
+        val table = RouteTable(
+            version = 1,
+            routes = listOf(
+                route("latest", ReadGuarantee.Latest),
+                route("bounded", ReadGuarantee.BoundedAge(1_500)),
+                route("own", ReadGuarantee.OwnWrites(2_500)),
+            ).associateBy { it.database },
+            groups = mapOf(GroupId("g") to GroupLimits(20)),
+            organisations = persistentMapOf(
+                OrganisationId("o") to OrganisationAccess(OrganisationId("o"), setOf(KeyDigest.of(ApiKey("key"))), 100.0, 100.0),
+            ),
+            transactionIdleMillis = 3_000,
+        )
+    }
+}
--- /dev/null
+++ b/daemon/src/test/kotlin/org/buckthornhub/connection/FakeLink.kt
@@ -0,0 +1,116 @@
+package org.buckthornhub.connection
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import kotlinx.coroutines.delay
+import org.buckthornhub.group.Position
+import org.buckthornhub.horizon.CommitHorizon
+import org.buckthornhub.target.TargetRole
+
+/** A connection to a [FakeInstance]. */
+internal class FakeLink(private val instance: FakeInstance) : TargetLink {
+    private var phase = SessionPhase.IDLE
+    private var isPlain = false
+    private var hasWritten = false
+    private var prepared: Map<String, PreparedStatement> = emptyMap()
+    override var isOpen = true
+        private set
+    override val position: Position get() = instance.position
+
+    override suspend fun run(statement: TargetStatement, timeoutMillis: Long): Result<TargetReply, TargetLinkFailure> {
+        if (!isOpen) return Err(TargetLinkFailure(mayHaveRun = false, isSilent = false, "ended"))
+        delay(1)
+        return when (statement) {
+            is TargetStatement.Begin -> begin(statement)
+            is TargetStatement.Run -> work(statement.text, statement.floor, statement.text.startsWith("WRITE"), timeoutMillis)
+            is TargetStatement.Execute -> {
+                val shape = prepared[statement.name] ?: return Ok(refused(TargetRefusal.PREPARED_UNKNOWN))
+                val isWrite = shape.access == org.buckthornhub.statement.Access.WRITE
+                work("${shape.shape} ${statement.arguments}", statement.floor, isWrite, timeoutMillis)
+            }
+            is TargetStatement.Commit -> commit(timeoutMillis)
+            is TargetStatement.RollBack -> Ok(ended())
+            is TargetStatement.Setup -> Ok(setup(statement.step))
+            is TargetStatement.Status -> Ok(completed(emptyList()))
+        }
+    }
+
+    override fun close() {
+        isOpen = false
+    }
+
+    private fun begin(statement: TargetStatement.Begin): Result<TargetReply, TargetLinkFailure> {
+        if (!statement.readOnly && instance.role != TargetRole.PRIMARY) return Ok(refused(TargetRefusal.NOT_LEADING))
+        if (isBehind(statement.floor)) return Ok(refused(TargetRefusal.BEHIND))
+        phase = SessionPhase.IN_TRANSACTION
+        isPlain = !statement.readOnly
+        return Ok(completed(emptyList()))
+    }
+
+    private suspend fun work(
+        text: String,
+        floor: Position?,
+        isWrite: Boolean,
+        timeoutMillis: Long,
+    ): Result<TargetReply, TargetLinkFailure> {
+        val needsLeader = isWrite || phase == SessionPhase.IN_TRANSACTION && isPlain
+        if (needsLeader && instance.role != TargetRole.PRIMARY) return Ok(failed(TargetRefusal.NOT_LEADING))
+        if (isBehind(floor)) return Ok(refused(TargetRefusal.BEHIND))
+        when (val trouble = instance.trouble(text)) {
+            FakeTrouble.SILENT -> return silent(timeoutMillis)
+            FakeTrouble.BUSY -> return Ok(refused(TargetRefusal.BUSY))
+            FakeTrouble.FAILED, FakeTrouble.ANSWER_LOST, null -> {
+                instance.run(text)
+                if (trouble == FakeTrouble.FAILED) return Ok(failed(TargetRefusal.FAILED))
+                if (isWrite && phase == SessionPhase.IDLE) instance.commit()
+                hasWritten = hasWritten || isWrite
+                if (trouble == FakeTrouble.ANSWER_LOST) return lost()
+            }
+        }
+        return Ok(completed(listOf("row of $text"), "signed by ${instance.record.target}"))
+    }
+
+    private suspend fun commit(timeoutMillis: Long): Result<TargetReply, TargetLinkFailure> {
+        if (hasWritten && instance.role != TargetRole.PRIMARY) return Ok(failed(TargetRefusal.NOT_LEADING))
+        val trouble = instance.trouble("COMMIT")
+        if (trouble == FakeTrouble.SILENT) return silent(timeoutMillis)
+        if (hasWritten) instance.commit()
+        ended()
+        return if (trouble == FakeTrouble.ANSWER_LOST) lost() else Ok(completed(emptyList(), "commit signed by ${instance.record.target}"))
+    }
+
+    private fun setup(step: SetupStatement): TargetReply {
+        if (step is SetupStatement.Prepare) prepared = prepared + (step.name to step.statement)
+        if (step is SetupStatement.Discard) prepared = emptyMap()
+        return completed(emptyList())
+    }
+
+    private fun ended(): TargetReply {
+        phase = SessionPhase.IDLE
+        hasWritten = false
+        return completed(emptyList())
+    }
+
+    private fun isBehind(floor: Position?) = floor != null && CommitHorizon.compare(instance.position, floor) < 0
+
+    private fun failed(refusal: TargetRefusal): TargetReply {
+        if (phase == SessionPhase.IN_TRANSACTION) phase = SessionPhase.FAILED
+        return refused(refusal)
+    }
+
+    private fun refused(refusal: TargetRefusal) = TargetReply.Refused(refusal, "as the test has it", phase, instance.position)
+
+    private fun completed(rows: List<String>, signature: String? = null) = TargetReply.Completed(rows, signature, phase, instance.position)
+
+    private fun lost(): Result<TargetReply, TargetLinkFailure> {
+        isOpen = false
+        return Err(TargetLinkFailure(mayHaveRun = true, isSilent = false, "lost"))
+    }
+
+    private suspend fun silent(timeoutMillis: Long): Result<TargetReply, TargetLinkFailure> {
+        delay(timeoutMillis)
+        isOpen = false
+        return Err(TargetLinkFailure(mayHaveRun = true, isSilent = true, "silent"))
+    }
+}
