Find a silent leader within 0.6 s, and tell the control leader at once

A leader counted as silent after 1.2 s, and the report waited for the open question, held back for up to 0.4 s. A daemon also stayed with a control VM that answers without a majority behind it, since any proof of freshness counted, however old. Change: a leader is asked after 0.25 s, counts as silent after 0.6 s and one unanswered question, and the report goes beside the open question. A source whose proof is older than 1 s is left for the next one.

--- a/daemon/src/main/kotlin/org/buckthornhub/coordination/ReportMessage.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/coordination/ReportMessage.kt
@@ -1,6 +1,7 @@
 package org.buckthornhub.coordination
 
 import org.buckthornhub.fleet.VmId
+import org.buckthornhub.target.TargetId
 
 /** What the task that reports to the control quorum is told. */
 internal sealed interface ReportMessage {
@@ -19,6 +20,9 @@
         val detail: String,
     ) : ReportMessage
 
+    /** The leaders that give this daemon no answer are others now. */
+    data class Unreachable(val targets: Set<TargetId>) : ReportMessage
+
     /** The VMs that the settings name as introducers. */
     data class Introducers(val vms: List<VmId>) : ReportMessage
 }
--- a/daemon/src/main/kotlin/org/buckthornhub/coordination/ReportTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/coordination/ReportTask.kt
@@ -6,6 +6,7 @@
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.StateFlow
 import kotlinx.coroutines.launch
@@ -25,12 +26,13 @@
     private val addressOf: (VmId) -> String,
     private val links: HttpLink.Factory,
     private val demand: StateSource<DemandReport>,
-    private val unreachable: () -> Set<TargetId>,
+    private val unreachable: Flow<Set<TargetId>>,
     private val clock: Clock,
 ) : Task<ReportMessage>("report") {
     private val published = MutableStateFlow(ProxyView())
     private var introducers: List<VmId> = emptyList()
     private var connections: PersistentMap<VmId, HttpLink> = persistentMapOf()
+    private var silentLeaders: Set<TargetId> = emptySet()
     private var failures = 0
     private lateinit var scope: CoroutineScope
 
@@ -38,11 +40,13 @@
 
     override suspend fun onStart(scope: CoroutineScope) {
         this.scope = scope
+        scope.launch { unreachable.collect { offer(ReportMessage.Unreachable(it)) } }
         offer(ReportMessage.Ask)
     }
 
     override suspend fun handle(message: ReportMessage): Unit = when (message) {
         is ReportMessage.Introducers -> introducers = message.vms
+        is ReportMessage.Unreachable -> unreachable(message.targets)
         is ReportMessage.Ask -> ask()
         is ReportMessage.Answered -> answered(message)
         is ReportMessage.Failed -> failed(message)
@@ -50,13 +54,24 @@
 
     override fun onEnd(): Unit = connections.values.forEach { it.close() }
 
+    // The question that is open now was asked without this, and may be held back for some time yet.
+    private fun unreachable(targets: Set<TargetId>) {
+        if (targets == silentLeaders) return
+        silentLeaders = targets
+        logger.info { "leaders that give no answer: $targets" }
+        val source = published.value.controlVms.firstOrNull() ?: return
+        val (link, report) = linkTo(source) to reportOf(published.value).copy(directoryRevision = NO_REVISION)
+        scope.launch { exchange(source, link, report) }
+    }
+
     private fun answered(message: ReportMessage.Answered) {
         if (failures > 0) logger.info { "control VM ${message.from} answers again after $failures failures" }
         val before = published.value
         val after = ProxyViews.after(before, message.from, message.askedMillis, message.news)
         published.value = after
         if (after.table !== before.table) logger.info { "route table ${after.table?.version} is in force, from control VM ${message.from}" }
-        val isUnproven = message.news.ageMillis == null
+        val ageMillis = message.news.ageMillis
+        val isUnproven = ageMillis == null || ageMillis > STALE_MILLIS
         failures = if (isUnproven) failures + 1 else 0
         // A VM that does not lead answers at once; only the leader holds the question back.
         val pause = if (message.news.instances == null && message.news.heldMillis < SHORTEST_MILLIS) SHORTEST_MILLIS else 0
@@ -103,7 +118,7 @@
         controlTerm = view.controlTerm,
         directoryRevision = view.directoryRevision,
         demand = demand.current(),
-        unreachable = unreachable(),
+        unreachable = silentLeaders,
     )
 
     private fun linkTo(source: VmId): HttpLink {
@@ -120,6 +135,12 @@
         /** In ms. */
         private const val RETRY_MILLIS = 100L
 
+        /** A VM whose proof is older hears no majority any more, so another one is asked; an election takes as long. In ms. */
+        private const val STALE_MILLIS = 1_000L
+
+        /** Asks for an answer at once. */
+        private const val NO_REVISION = -1L
+
         /** Shortest time between two questions that were not held back; in ms. */
         private const val SHORTEST_MILLIS = 200L
         private val logger = KotlinLogging.logger {}
--- a/daemon/src/main/kotlin/org/buckthornhub/daemon/SessionProxyAssembly.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/daemon/SessionProxyAssembly.kt
@@ -39,7 +39,7 @@
     private val horizons = HorizonTask(pool, clock)
     private val meter = MeterTask(clock)
     private val report =
-        ReportTask(settings.vm, { "${it.value}:${settings.controlPort}" }, links, meter, { horizons.unreachable() }, clock)
+        ReportTask(settings.vm, { "${it.value}:${settings.controlPort}" }, links, meter, horizons.unreachable, clock)
     private val leaving = Job()
     private val stopping = Job()
     private val environment =
--- a/daemon/src/main/kotlin/org/buckthornhub/horizon/HorizonMessage.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/horizon/HorizonMessage.kt
@@ -15,7 +15,10 @@
     data class Needed(val group: GroupId) : HorizonMessage
 
     /** The question to the leader of [group] is over, whatever came of it. */
-    data class Asked(val group: GroupId) : HorizonMessage
+    data class Asked(
+        val group: GroupId,
+        val isAnswered: Boolean,
+    ) : HorizonMessage
 
     /** The instances that claim to lead each group. */
     data class Leaders(val leaders: Map<GroupId, TargetId>) : HorizonMessage
--- a/daemon/src/main/kotlin/org/buckthornhub/horizon/HorizonTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/horizon/HorizonTask.kt
@@ -4,8 +4,11 @@
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.distinctUntilChanged
 import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.flow.map
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.buckthornhub.clock.Clock
@@ -35,11 +38,10 @@
 
     override fun current(): Map<GroupId, GroupHorizon> = published.value
 
-    /** Leaders that have given no answer for [SILENT_MILLIS]. */
-    fun unreachable(): Set<TargetId> = published.value.values
-        .filter { clock.nowMillis() - it.heardMillis > SILENT_MILLIS }
-        .mapNotNull { it.leader }
-        .toSet()
+    /** Leaders that have given no answer for [SILENT_MILLIS], to one question at least. */
+    val unreachable: Flow<Set<TargetId>> = published
+        .map { groups -> groups.values.filter { it.isSilent }.mapNotNull { it.leader }.toSet() }
+        .distinctUntilChanged()
 
     /** Tells of an answer to a statement that only a leader runs; [askedMillis] is from before it was sent. */
     fun learn(group: GroupId, askedMillis: Long, position: Position?) {
@@ -61,8 +63,8 @@
     }
 
     override suspend fun handle(message: HorizonMessage): Unit = when (message) {
-        is HorizonMessage.Learned -> update(message.group) { copy(horizon = horizon.with(message.sample)) }
-        is HorizonMessage.Asked -> update(message.group) { copy(isAsking = false) }
+        is HorizonMessage.Learned -> update(message.group) { copy(horizon = horizon.with(message.sample), isSilent = false) }
+        is HorizonMessage.Asked -> update(message.group) { copy(isAsking = false, isSilent = !message.isAnswered && isLate(this)) }
         is HorizonMessage.Needed -> ask(message.group)
         is HorizonMessage.Leaders -> leaders(message.leaders)
         is HorizonMessage.Tick -> published.value.filter { (_, it) -> isDue(it) }.keys.forEach { ask(it) }
@@ -71,11 +73,13 @@
     private fun isDue(group: GroupHorizon) =
         group.leader != null && clock.nowMillis() - (group.horizon.newest?.askedMillis ?: 0) > PROBE_MILLIS
 
+    private fun isLate(group: GroupHorizon) = clock.nowMillis() - group.heardMillis > SILENT_MILLIS
+
     private fun leaders(leaders: Map<GroupId, TargetId>) {
         val nowMillis = clock.nowMillis()
         (published.value.keys + leaders.keys).forEach { group ->
             val leader = leaders[group]
-            update(group) { if (leader == this.leader) this else copy(leader = leader, leaderSinceMillis = nowMillis) }
+            update(group) { if (leader == this.leader) this else copy(leader = leader, leaderSinceMillis = nowMillis, isSilent = false) }
         }
     }
 
@@ -88,17 +92,19 @@
         if (known.isAsking || known.leader == null) return
         update(group) { copy(isAsking = true) }
         scope.launch {
-            probe(group)
-            report(HorizonMessage.Asked(group))
+            report(HorizonMessage.Asked(group, isAnswered = probe(group)))
         }
     }
 
     // Only a leader begins a transaction that may write, so its answer shows that it led at that moment.
-    private suspend fun probe(group: GroupId) {
+    private suspend fun probe(group: GroupId): Boolean {
         val want = ConnectionWant(group, organisation = null, ConnectionNeed.Leader)
-        val lease = pool.acquire(want, clock.nowMillis() + TIMEOUT_MILLIS).getOrElse { return }
+        val lease = pool.acquire(want, clock.nowMillis() + TIMEOUT_MILLIS).getOrElse { return false }
         val askedMillis = clock.nowMillis()
-        val reply = lease.run(TargetStatement.Begin(readOnly = false, floor = null), TIMEOUT_MILLIS).getOrElse { return lease.giveBack() }
+        val reply = lease.run(TargetStatement.Begin(readOnly = false, floor = null), TIMEOUT_MILLIS).getOrElse {
+            lease.giveBack()
+            return false
+        }
         if (reply is TargetReply.Refused && reply.refusal == TargetRefusal.NOT_LEADING) {
             pool.offer(PoolCommand.Decide(PoolMessage.Demoted(lease.instance.target)))
         }
@@ -107,19 +113,20 @@
             lease.run(TargetStatement.RollBack, TIMEOUT_MILLIS)
         }
         lease.giveBack()
+        return true
     }
 
     private companion object {
-        /** A leader is asked if no session has had an answer for so long; a fifth of the shortest age that routes allow, in ms. */
-        const val PROBE_MILLIS = 300L
+        /** A leader is asked if no session has had an answer for so long; it is found silent within two of these, in ms. */
+        const val PROBE_MILLIS = 250L
 
         /** In ms. */
-        const val TICK_MILLIS = 100L
+        const val TICK_MILLIS = 50L
 
-        /** A leader that is silent for this long does not serve; in ms. */
-        const val TIMEOUT_MILLIS = 500L
+        /** A leader takes a fraction of a millisecond for a question, and the way at most some more; in ms. */
+        const val TIMEOUT_MILLIS = 350L
 
-        /** Two unanswered questions and a connect; in ms. */
-        const val SILENT_MILLIS = 1_200L
+        /** A question that was sent late and its time-out; in ms. */
+        const val SILENT_MILLIS = 600L
     }
 }
--- a/daemon/src/main/kotlin/org/buckthornhub/settings/SettingDefinitions.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/settings/SettingDefinitions.kt
@@ -4,7 +4,7 @@
 import kotlinx.collections.immutable.persistentListOf
 import org.buckthornhub.control.ControlSettingDefinitions
 
-/** Every setting of the daemon, in the order of the reference in docs/OPERATING.md. */
+/** Every setting of the daemon, in the order of the reference in docs/OPERATIONS.md. */
 public object SettingDefinitions {
     private const val MAX_PORT = 65_535L
     internal const val MIN_SECRET_LENGTH = 16
--- a/daemon/src/main/kotlin/org/buckthornhub/settings/SettingsLoader.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/settings/SettingsLoader.kt
@@ -50,7 +50,7 @@
 
     private fun check(found: Map<String, Any?>): Result<Settings, PersistentList<SettingFault>> {
         val known = SettingDefinitions.ALL.associateBy { it.key }
-        val unknown = (found.keys - known.keys).map { SettingFault(it, "an unknown key", "one of the settings in docs/OPERATING.md") }
+        val unknown = (found.keys - known.keys).map { SettingFault(it, "an unknown key", "one of the settings in docs/OPERATIONS.md") }
         val wrong = SettingDefinitions.ALL.mapNotNull { faultOf(it, found) }
         val faults =
             (unknown + wrong + CrossChecks.faultsOf(found)).ifEmpty { memberFaults(ValueReader(found)) }.toPersistentList()
--- a/daemon/src/test/kotlin/org/buckthornhub/connection/FakeFleet.kt
+++ b/daemon/src/test/kotlin/org/buckthornhub/connection/FakeFleet.kt
@@ -77,7 +77,7 @@
         view.value = view.value.copy(freshMillis = clock.nowMillis())
     }
 
-    private fun directory() = instances.fold(InstanceDirectory()) { directory, it -> directory.with(it.record) }
+    private fun directory() = instances.fold(InstanceDirectory()) { directory, instance -> directory.with(instance.record) }
 
     private companion object {
         const val START_MILLIS = 10_000L
--- a/daemon/src/test/kotlin/org/buckthornhub/docs/OperatingPageTest.kt
+++ b/daemon/src/test/kotlin/org/buckthornhub/docs/OperationsPageTest.kt
@@ -9,8 +9,8 @@
 import kotlin.test.assertEquals
 
 /** The operators' page lists every setting and every error as the code has them; a failure prints the right rows. */
-internal class OperatingPageTest {
-    private val rows = File("../docs/OPERATING.md").readLines().filter { it.startsWith("| `") }
+internal class OperationsPageTest {
+    private val rows = File("../docs/OPERATIONS.md").readLines().filter { it.startsWith("| `") }
 
     @Test
     fun `lists every setting`() {
--- a/runtime/src/main/kotlin/org/buckthornhub/caller/wire/ErrorBody.kt
+++ b/runtime/src/main/kotlin/org/buckthornhub/caller/wire/ErrorBody.kt
@@ -5,7 +5,7 @@
 import org.buckthornhub.error.Execution
 
 /**
- * The answer to a request that was refused or failed; see docs/OPERATING.md for each kind.
+ * The answer to a request that was refused or failed; see docs/OPERATIONS.md for each kind.
  *
  * @property session the token to go on with after a write whose outcome is not known
  */
