--- a/core/src/main/kotlin/org/buckthornhub/clock/Clock.kt
+++ b/core/src/main/kotlin/org/buckthornhub/clock/Clock.kt
@@ -5,6 +5,6 @@
     /** Monotonic time of this process in ms; its zero means nothing outside the process. */
     public fun nowMillis(): Long
 
-    /** Calendar time in ms since 1970-01-01 UTC, for what people read; no decision may depend on it. */
+    /** Calendar time in ms since 1970-01-01 UTC: for what people read, and to notice that a VM was suspended. */
     public fun wallMillis(): Long
 }
--- a/core/src/main/kotlin/org/buckthornhub/instancepool/PoolDecider.kt
+++ b/core/src/main/kotlin/org/buckthornhub/instancepool/PoolDecider.kt
@@ -33,14 +33,24 @@
 
     private fun returned(state: PoolState, message: PoolMessage.Returned, nowMillis: Long): Decision<PoolState, PoolEffect> {
         val instance = state.instances[message.target] ?: return close(state, message.connection)
+        if (message.isSilent) {
+            return silent(
+                state.update(message.target) {
+                    copy(lent = lent.remove(message.connection))
+                },
+                message,
+                nowMillis,
+            )
+        }
         val seen = state.update(message.target) { seen(message.applied, nowMillis).copy(lent = lent.remove(message.connection)) }
-        if (message.isSilent) return silent(seen, message, nowMillis)
         val kept = message.state?.takeIf { instance.size <= state.limitOf(instance.record.group) } ?: return close(seen, message.connection)
         return Decision(seen.update(message.target) { copy(idle = idle.add(PoolConnection(message.connection, message.target, kept))) })
     }
 
-    // The other connections to a silent instance are most likely silent too.
+    // The other connections to a silent instance are most likely silent too, unless one of them had an answer meanwhile.
     private fun silent(state: PoolState, message: PoolMessage.Returned, nowMillis: Long): Decision<PoolState, PoolEffect> {
+        val heardMillis = state.instances[message.target]?.appliedAtMillis ?: 0
+        if (nowMillis - heardMillis < SILENT_MILLIS) return close(state, message.connection)
         val idle = state.instances[message.target]?.idle.orEmpty().map { it.id }
         val next = state.update(message.target) { copy(idle = persistentListOf(), retryAtMillis = nowMillis + settings.firstRetryMillis) }
         return Decision(next, (idle + message.connection).map { PoolEffect.Close(it) }.toPersistentList())
@@ -161,6 +171,9 @@
         /** 100 ms doubled four times is the longest pause. */
         const val MAX_DOUBLINGS = 4
 
+        /** An instance that gave any answer within this time is not silent; a few statements take as long. In ms. */
+        const val SILENT_MILLIS = 300L
+
         /** Stands for the daemon itself where a target asks who connects. */
         val NOBODY = OrganisationId("-")
     }
--- a/core/src/test/kotlin/org/buckthornhub/instancepool/PoolDeciderTest.kt
+++ b/core/src/test/kotlin/org/buckthornhub/instancepool/PoolDeciderTest.kt
@@ -1,6 +1,9 @@
 package org.buckthornhub.instancepool
 
+import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.persistentSetOf
+import org.buckthornhub.connection.TargetConnectionState
 import org.buckthornhub.directory.InstanceRecord
 import org.buckthornhub.fleet.ZoneId
 import org.buckthornhub.group.GroupId
@@ -11,6 +14,7 @@
 import org.buckthornhub.target.TargetId
 import org.buckthornhub.target.TargetRole
 import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
 import org.junit.jupiter.params.provider.MethodSource
 import org.junit.jupiter.params.provider.ValueSource
 import kotlin.random.Random
@@ -31,6 +35,18 @@
         assertEquals(case.opened, opened?.instance?.target?.value)
     }
 
+    @ParameterizedTest
+    @CsvSource("100, 1", "400, 2")
+    fun `one unanswered statement ends the other connections only if nothing was heard meanwhile`(silentMillis: Long, closed: Int) {
+        val idle = PoolConnection(ConnectionId(1), leader.target, TargetConnectionState(organisation))
+        val instance = PoolInstance(leader, persistentListOf(idle), lent = persistentSetOf(ConnectionId(2)), appliedAtMillis = 1_000)
+        val state = PoolState(persistentMapOf(leader.target to instance), persistentMapOf(group to 2))
+        val silent = PoolMessage.Returned(ConnectionId(2), leader.target, null, null, isSilent = true)
+        val decision = decider.decide(state, silent, 1_000 + silentMillis)
+        assertEquals(closed, decision.effects.filterIsInstance<PoolEffect.Close>().size)
+        assertEquals(2 - closed, decision.state.instances.getValue(leader.target).size)
+    }
+
     @Test
     fun `who waits too long is told so, and whether anybody leads`() {
         val want = ConnectionWant(group, organisation, ConnectionNeed.Leader)
--- a/daemon/src/main/kotlin/org/buckthornhub/connection/Admission.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/Admission.kt
@@ -12,7 +12,7 @@
     val waitMillis: Long get() = maxOf(route.objectiveMillis / WAIT_DIVISOR, SHORTEST_WAIT_MILLIS)
 
     /** How long one of several targets may take for a read before another one is tried; in ms. */
-    val attemptMillis: Long get() = minOf(route.statementTimeoutMillis, maxOf(route.objectiveMillis, SHORTEST_ATTEMPT_MILLIS))
+    val attemptMillis: Long get() = minOf(route.statementTimeoutMillis, maxOf(route.objectiveMillis / 2, SHORTEST_ATTEMPT_MILLIS))
 
     private companion object {
         /** A quarter of the objective. */
@@ -21,7 +21,7 @@
         /** A new connection and a round trip. */
         const val SHORTEST_WAIT_MILLIS = 30L
 
-        /** The slowest of a thousand statements takes about this long. */
-        const val SHORTEST_ATTEMPT_MILLIS = 200L
+        /** Statements that wait for a slot and are slow besides take about this long. */
+        const val SHORTEST_ATTEMPT_MILLIS = 150L
     }
 }
--- a/daemon/src/main/kotlin/org/buckthornhub/connection/AdmissionGate.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/AdmissionGate.kt
@@ -39,14 +39,14 @@
             ?: withTimeoutOrNull(environment.settings.freshWaitMillis) { environment.view.first { isFresh(it) } }
         val table = view?.table
         if (table != null) return Ok(table)
-        val ageMillis = environment.view.value.freshMillis?.let { environment.clock.nowMillis() - it }
+        val ageMillis = environment.view.value.ageMillis(environment.clock)
         return Err(
             ProxyError(ErrorKind.CONFIGURATION_STALE, "no majority of the control quorum was heard for $ageMillis ms", STALE_RETRY_MILLIS),
         )
     }
 
     private fun isFresh(view: ProxyView): Boolean =
-        view.table != null && view.isFresh(environment.clock.nowMillis(), environment.settings.keyFreshMillis)
+        view.table != null && view.isFresh(environment.clock, environment.settings.keyFreshMillis)
 
     private companion object {
         val ANONYMOUS = OrganisationId("-")
--- a/daemon/src/main/kotlin/org/buckthornhub/connection/SessionTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/SessionTask.kt
@@ -182,7 +182,7 @@
                 error = error,
                 tookMillis = tookMillis(),
                 tableVersion = view.table?.version,
-                tableAgeMillis = view.freshMillis?.let { environment.clock.nowMillis() - it },
+                tableAgeMillis = view.ageMillis(environment.clock),
             ),
         )
     }
@@ -200,10 +200,10 @@
         return true
     }
 
-    // A caller whose database or key is gone can do nothing more on this connection.
+    // A caller can do nothing more on this connection if its database or key is gone; another daemon may be better connected.
     private fun turnAway(error: ProxyError): Boolean {
         refuse(error, session)
-        return error.kind != ErrorKind.DATABASE_UNKNOWN && error.kind != ErrorKind.KEY_UNKNOWN
+        return error.kind !in ENDING
     }
 
     private fun end(error: ProxyError): Boolean {
@@ -219,6 +219,7 @@
 
     private companion object {
         const val DEFAULT_IDLE_MILLIS = 3_000L
+        val ENDING = setOf(ErrorKind.DATABASE_UNKNOWN, ErrorKind.KEY_UNKNOWN, ErrorKind.CONFIGURATION_STALE)
         val lostTransaction = ProxyError(ErrorKind.TRANSACTION_ABORTED, "the transaction is gone")
     }
 }
--- a/daemon/src/main/kotlin/org/buckthornhub/coordination/ProxyView.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/coordination/ProxyView.kt
@@ -1,5 +1,6 @@
 package org.buckthornhub.coordination
 
+import org.buckthornhub.clock.Clock
 import org.buckthornhub.directory.InstanceDirectory
 import org.buckthornhub.fleet.VmId
 import org.buckthornhub.organisation.OrganisationId
@@ -11,13 +12,13 @@
 /**
  * What a daemon that serves sessions has learnt from the control quorum.
  *
- * @property freshMillis local monotonic time at which a majority still stood behind [table]; null if never
+ * @property proof when a majority still stood behind [table]; null if never
  * @property controlVms where to ask, the likely leader first
  * @property directoryRevision of the leader of [controlTerm]
  */
 internal data class ProxyView(
     val table: RouteTable? = null,
-    val freshMillis: Long? = null,
+    val proof: FreshProof? = null,
     val controlVms: List<VmId> = emptyList(),
     val controlTerm: Long = 0,
     val directoryRevision: Long = -1,
@@ -26,7 +27,10 @@
     val proxies: Int = 1,
 ) {
     /** True while no key can have been taken away for longer than [limitMillis] without this daemon knowing. */
-    fun isFresh(nowMillis: Long, limitMillis: Long): Boolean = freshMillis != null && nowMillis - freshMillis <= limitMillis
+    fun isFresh(clock: Clock, limitMillis: Long): Boolean = ageMillis(clock)?.let { it <= limitMillis } ?: false
+
+    /** Time since a majority stood behind [table]. */
+    fun ageMillis(clock: Clock): Long? = proof?.ageMillis(clock.nowMillis(), clock.wallMillis())
 
     /** What this daemon may let through for [access]; the tolerance goes to the burst, for callers who come unevenly. */
     fun rateOf(access: OrganisationAccess, tolerance: LimitTolerance): MeterRate {
--- a/daemon/src/main/kotlin/org/buckthornhub/coordination/ProxyViews.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/coordination/ProxyViews.kt
@@ -4,17 +4,17 @@
 
 /** Takes the news of control VMs into the view of a daemon. */
 internal object ProxyViews {
-    fun after(view: ProxyView, from: VmId, askedMillis: Long, news: ProxyNews): ProxyView {
+    fun after(view: ProxyView, from: VmId, asked: FreshProof, news: ProxyNews): ProxyView {
         val known = view.table
         val table = news.table?.takeIf { known == null || it.version > known.version } ?: known
         // Counted from the question, so that time on the way makes the answer older. A source that is behind proves nothing.
-        val freshMillis = news.ageMillis
-            ?.let { askedMillis + news.heldMillis - it }
+        val proof = news.ageMillis
+            ?.let { age -> FreshProof(asked.monotonicMillis + news.heldMillis - age, asked.wallMillis + news.heldMillis - age) }
             ?.takeIf { news.tableVersion >= (table?.version ?: 0) }
         val instances = news.instances
         return view.copy(
             table = table,
-            freshMillis = listOfNotNull(view.freshMillis, freshMillis).maxOrNull(),
+            proof = listOfNotNull(view.proof, proof).maxByOrNull { it.monotonicMillis },
             controlVms = controlVms(view, from, news),
             controlTerm = if (instances != null) news.controlTerm else view.controlTerm,
             directoryRevision = if (instances != null) news.directoryRevision else view.directoryRevision,
--- a/daemon/src/main/kotlin/org/buckthornhub/coordination/ReportMessage.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/coordination/ReportMessage.kt
@@ -8,10 +8,10 @@
     /** Ask the next control VM. */
     data object Ask : ReportMessage
 
-    /** @property askedMillis local monotonic time before the question was sent */
+    /** @property asked time before the question was sent */
     data class Answered(
         val from: VmId,
-        val askedMillis: Long,
+        val asked: FreshProof,
         val news: ProxyNews,
     ) : ReportMessage
 
--- a/daemon/src/main/kotlin/org/buckthornhub/coordination/ReportTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/coordination/ReportTask.kt
@@ -67,7 +67,7 @@
     private fun answered(message: ReportMessage.Answered) {
         if (failures > 0) logger.info { "control VM ${message.from} answers again after $failures failures" }
         val before = published.value
-        val after = ProxyViews.after(before, message.from, message.askedMillis, message.news)
+        val after = ProxyViews.after(before, message.from, message.asked, message.news)
         published.value = after
         if (after.table !== before.table) logger.info { "route table ${after.table?.version} is in force, from control VM ${message.from}" }
         val ageMillis = message.news.ageMillis
@@ -101,12 +101,12 @@
     }
 
     private suspend fun exchange(source: VmId, link: HttpLink, report: ProxyReport): ReportMessage {
-        val askedMillis = clock.nowMillis()
+        val asked = FreshProof(clock.nowMillis(), clock.wallMillis())
         val body = PeerJson.encodeToString(ProxyReport.serializer(), report)
         val reply = link.post(PATH, body, TIMEOUT_MILLIS).getOrElse { return ReportMessage.Failed(source, it.detail) }
         if (!reply.isSuccess) return ReportMessage.Failed(source, "status ${reply.status}")
         return try {
-            ReportMessage.Answered(source, askedMillis, PeerJson.decodeFromString(ProxyNews.serializer(), reply.body))
+            ReportMessage.Answered(source, asked, PeerJson.decodeFromString(ProxyNews.serializer(), reply.body))
         } catch (e: SerializationException) {
             ReportMessage.Failed(source, "the answer can't be read: ${e.message.orEmpty().lineSequence().first()}")
         }
--- a/daemon/src/main/kotlin/org/buckthornhub/daemon/SessionProxyAssembly.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/daemon/SessionProxyAssembly.kt
@@ -56,9 +56,11 @@
     private lateinit var scope: CoroutineScope
 
     /** True while callers may be sent here. */
-    public fun isReady(): Boolean = stopping.isActive &&
-        report.view.value.table != null &&
-        report.view.value.isFresh(clock.nowMillis(), settings.keyFreshMillis)
+    public fun isReady(): Boolean {
+        val view = report.view.value
+        val isCutOff = !view.isFresh(clock, CUT_OFF_MILLIS) && horizons.areMostSilent()
+        return stopping.isActive && view.table != null && view.isFresh(clock, settings.keyFreshMillis) && !isCutOff
+    }
 
     public fun start(scope: CoroutineScope) {
         this.scope = scope
@@ -105,6 +107,9 @@
         /** Time to end before the process is killed. */
         const val EXIT_MILLIS = 700L
 
+        /** Neither the control quorum nor most leaders answer: callers are better off in another availability zone. In ms. */
+        const val CUT_OFF_MILLIS = 800L
+
         /** Connections of an instance that are left to control VMs and to daemons that just started. */
         const val RESERVED_CONNECTIONS = 3
 
--- a/daemon/src/main/kotlin/org/buckthornhub/horizon/HorizonTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/horizon/HorizonTask.kt
@@ -43,6 +43,11 @@
         .map { groups -> groups.values.filter { it.isSilent }.mapNotNull { it.leader }.toSet() }
         .distinctUntilChanged()
 
+    /** Whether more than half of the leaders that are known give no answer. */
+    fun areMostSilent(): Boolean = published.value.values.filter {
+        it.leader != null
+    }.let { led -> led.count { it.isSilent } * 2 > led.size }
+
     /** Tells of an answer to a statement that only a leader runs; [askedMillis] is from before it was sent. */
     fun learn(group: GroupId, askedMillis: Long, position: Position?) {
         if (position != null) offer(HorizonMessage.Learned(group, HorizonSample(askedMillis, position)))
--- a/daemon/src/main/kotlin/org/buckthornhub/quota/MeterTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/quota/MeterTask.kt
@@ -64,8 +64,8 @@
         const val TICK_MILLIS = 250L
         const val TICKS_PER_SECOND = 4.0
 
-        /** Weight of a quarter of a second with more than before: about a second until demand has followed. */
-        const val RISE = 0.2
+        /** Weight of a quarter of a second with more than before: half a second until demand has mostly followed. */
+        const val RISE = 0.5
 
         /** Weight of one with less: callers come unevenly, so a gap of some seconds takes little away. */
         const val FALL = 0.05
