Serve metrics; close connections that say nothing; give the others what a silent daemon can't use of a limit

Metrics of statements, waits for connections, route table and control quorum at the port of the settings, without labels that callers choose. What is left in the cut is RATE_EXCEEDED: the daemons of the cut zone kept a quarter of each limit.

--- a/daemon/src/main/kotlin/org/buckthornhub/connection/SessionTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/SessionTask.kt
@@ -9,6 +9,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.selects.onTimeout
 import kotlinx.coroutines.selects.select
+import kotlinx.coroutines.withTimeoutOrNull
 import org.buckthornhub.decisionlog.DecisionEvent
 import org.buckthornhub.error.ErrorKind
 import org.buckthornhub.error.ProxyError
@@ -43,7 +44,7 @@
     }
 
     private suspend fun open(): Boolean {
-        val request = link.requests.receiveCatching().getOrNull() ?: return false
+        val request = withTimeoutOrNull(START_MILLIS) { link.requests.receiveCatching().getOrNull() } ?: return false
         if (request !is ClientRequest.Start) return end(ProxyError(ErrorKind.MALFORMED_REQUEST, "a session begins with its database"))
         caller = CallerIdentity(request.database, KeyDigest.of(request.key))
         gate.check(caller).getOrElse { return end(it) }
@@ -219,6 +220,9 @@
 
     private companion object {
         const val DEFAULT_IDLE_MILLIS = 3_000L
+
+        /** A caller says at once which database it wants; connections that say nothing are not kept. */
+        const val START_MILLIS = 10_000L
         val ENDING = setOf(ErrorKind.DATABASE_UNKNOWN, ErrorKind.KEY_UNKNOWN, ErrorKind.CONFIGURATION_STALE)
         val lostTransaction = ProxyError(ErrorKind.TRANSACTION_ABORTED, "the transaction is gone")
     }
--- a/daemon/src/main/kotlin/org/buckthornhub/coordination/ProxyView.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/coordination/ProxyView.kt
@@ -4,6 +4,7 @@
 import org.buckthornhub.directory.InstanceDirectory
 import org.buckthornhub.fleet.VmId
 import org.buckthornhub.organisation.OrganisationId
+import org.buckthornhub.quota.DemandBoard
 import org.buckthornhub.quota.LimitTolerance
 import org.buckthornhub.quota.MeterRate
 import org.buckthornhub.routetable.OrganisationAccess
@@ -33,9 +34,10 @@
     fun ageMillis(clock: Clock): Long? = proof?.ageMillis(clock.nowMillis(), clock.wallMillis())
 
     /** What this daemon may let through for [access]; the tolerance goes to the burst, for callers who come unevenly. */
-    fun rateOf(access: OrganisationAccess, tolerance: LimitTolerance): MeterRate {
+    fun rateOf(access: OrganisationAccess, tolerance: LimitTolerance, clock: Clock): MeterRate {
         val count = if (shares.isEmpty()) maxOf(proxies, FEWEST_PROXIES) else proxies
-        val share = shares[access.organisation] ?: (1.0 / count)
+        val part = shares[access.organisation] ?: (1.0 / count)
+        val share = if (isFresh(clock, DemandBoard.SELF_SILENT_MILLIS)) part else part * DemandBoard.SILENT_PART
         val burst = access.burst * share * (1 + tolerance.part) + tolerance.operations / count
         return MeterRate(access.ratePerSecond * share, burst)
     }
--- a/daemon/src/main/kotlin/org/buckthornhub/daemon/ControlVmAssembly.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/daemon/ControlVmAssembly.kt
@@ -1,6 +1,7 @@
 package org.buckthornhub.daemon
 
 import com.github.michaelbull.result.getOrElse
+import io.prometheus.metrics.model.registry.PrometheusRegistry
 import kotlinx.coroutines.CoroutineScope
 import org.buckthornhub.clock.Clock
 import org.buckthornhub.control.ControlMessage
@@ -12,11 +13,14 @@
 import org.buckthornhub.coordination.AnnouncementDesk
 import org.buckthornhub.coordination.CoordinatorTask
 import org.buckthornhub.coordination.ReportRoutes
+import org.buckthornhub.decisionlog.SessionMetrics
 import org.buckthornhub.failover.InstanceSurvey
 import org.buckthornhub.failover.PromotionOrders
 import org.buckthornhub.fleet.VmId
 import org.buckthornhub.http.HttpLink
 import org.buckthornhub.http.HttpServer
+import org.buckthornhub.http.Route
+import org.buckthornhub.observe.MetricsRoutes
 import org.buckthornhub.peer.PeerAuthority
 import org.buckthornhub.replication.ReplicationMessage
 import org.buckthornhub.replication.ReplicationSettings
@@ -44,6 +48,10 @@
 
     /** Announcements of instances, on whichever control VM they arrive. */
     public val announcements: AnnouncementDesk = AnnouncementDesk(settings.vm, control, coordinator, leaderLink)
+    private val registry = PrometheusRegistry()
+
+    /** What operators may ask of this VM over HTTP: its metrics. */
+    public val operatorRoutes: List<Route> = MetricsRoutes(registry).routes()
     private val server: HttpServer =
         HttpServer(
             settings.vm.value,
@@ -54,6 +62,24 @@
                 announcements.routes(),
         )
 
+    init {
+        SessionMetrics.gauge(registry, "buckthornhub_control_leads", "1 if this VM leads the control quorum.") {
+            if (control.leadership.current().isLeader) 1.0 else 0.0
+        }
+        SessionMetrics.gauge(registry, "buckthornhub_control_term", "Term of the control quorum, which fences orders.") {
+            control.leadership.current().controlTerm.toDouble()
+        }
+        SessionMetrics.gauge(registry, "buckthornhub_control_revision", "Accepted changes.") {
+            control.state.current().revision.toDouble()
+        }
+        SessionMetrics.gauge(registry, "buckthornhub_instances", "Instances in the directory of the leader.") {
+            coordinator.current().directory.records.size.toDouble()
+        }
+        SessionMetrics.gauge(registry, "buckthornhub_proxies", "Daemons that serve sessions and report to this VM.") {
+            coordinator.current().demand.reports.size.toDouble()
+        }
+    }
+
     public fun start(scope: CoroutineScope) {
         memberLinks.start(scope)
         control.start(scope)
--- a/daemon/src/main/kotlin/org/buckthornhub/daemon/SessionProxyAssembly.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/daemon/SessionProxyAssembly.kt
@@ -1,5 +1,6 @@
 package org.buckthornhub.daemon
 
+import io.prometheus.metrics.model.registry.PrometheusRegistry
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.delay
@@ -14,16 +15,20 @@
 import org.buckthornhub.coordination.ProxyView
 import org.buckthornhub.coordination.ReportMessage
 import org.buckthornhub.coordination.ReportTask
+import org.buckthornhub.decisionlog.CompositeDecisionLog
 import org.buckthornhub.decisionlog.DecisionLog
+import org.buckthornhub.decisionlog.SessionMetrics
 import org.buckthornhub.fleet.VmId
 import org.buckthornhub.group.GroupId
 import org.buckthornhub.horizon.HorizonMessage
 import org.buckthornhub.horizon.HorizonTask
 import org.buckthornhub.http.HttpLink
+import org.buckthornhub.http.Route
 import org.buckthornhub.instancepool.PoolCommand
 import org.buckthornhub.instancepool.PoolMessage
 import org.buckthornhub.instancepool.PoolSettings
 import org.buckthornhub.instancepool.PoolTask
+import org.buckthornhub.observe.MetricsRoutes
 import org.buckthornhub.quota.MeterTask
 import org.buckthornhub.target.TargetRole
 
@@ -35,6 +40,7 @@
     private val clock: Clock,
     decisions: DecisionLog = DecisionLog.NONE,
 ) {
+    private val registry = PrometheusRegistry()
     private val pool = PoolTask(PoolSettings(settings.zone, settings.leaderDrainMillis), targets, clock)
     private val horizons = HorizonTask(pool, clock)
     private val meter = MeterTask(clock)
@@ -50,11 +56,14 @@
             horizons,
             meter,
             leaving,
-            decisions,
+            measured(decisions),
             clock,
         )
     private lateinit var scope: CoroutineScope
 
+    /** What operators may ask of this daemon over HTTP: its metrics. */
+    public val operatorRoutes: List<Route> = MetricsRoutes(registry).routes()
+
     /** True while callers may be sent here. */
     public fun isReady(): Boolean {
         val view = report.view.value
@@ -88,6 +97,16 @@
         delay((settings.graceMillis - NOTICE_MILLIS - EXIT_MILLIS).coerceAtLeast(0))
     }
 
+    private fun measured(decisions: DecisionLog): DecisionLog {
+        SessionMetrics.gauge(registry, "buckthornhub_route_table_version", "Version of the route table in force.") {
+            report.view.value.table?.version?.toDouble() ?: 0.0
+        }
+        SessionMetrics.gauge(registry, "buckthornhub_route_table_age_seconds", "Time since a majority stood behind the route table.") {
+            report.view.value.ageMillis(clock)?.let { it / MILLIS_PER_SECOND } ?: Double.NaN
+        }
+        return CompositeDecisionLog(listOf(SessionMetrics(registry), decisions))
+    }
+
     private fun follow(view: ProxyView) {
         val records = view.directory.records.values
         pool.offer(PoolCommand.Decide(PoolMessage.Directory(records)))
@@ -101,6 +120,8 @@
     }
 
     private companion object {
+        const val MILLIS_PER_SECOND = 1_000.0
+
         /** Two missed questions of a balancer that asks every second. */
         const val NOTICE_MILLIS = 2_200L
 
--- /dev/null
+++ b/daemon/src/main/kotlin/org/buckthornhub/decisionlog/SessionMetrics.kt
@@ -0,0 +1,44 @@
+package org.buckthornhub.decisionlog
+
+import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.GaugeWithCallback
+import io.prometheus.metrics.core.metrics.Histogram
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+
+/** Counts decisions for Prometheus. No label holds what callers choose, so their number is bounded. */
+internal class SessionMetrics(registry: PrometheusRegistry) : DecisionLog {
+    private val statements =
+        Counter.builder().name("buckthornhub_statements_total").help("Statements by outcome: served, or the error kind.")
+            .labelNames("outcome").register(registry)
+    private val duration =
+        Histogram.builder().name("buckthornhub_statement_duration_seconds").help("From arrival to answer, by whether it was served.")
+            .labelNames("served").classicUpperBounds(*DURATION_BOUNDS).classicOnly().register(registry)
+    private val connectionWait =
+        Histogram.builder().name("buckthornhub_connection_wait_seconds").help("Wait of single statements for a connection.")
+            .classicUpperBounds(*DURATION_BOUNDS).classicOnly().register(registry)
+    private val expired =
+        Counter.builder().name("buckthornhub_transactions_expired_total").help("Transactions rolled back as idle.").register(registry)
+
+    override fun record(event: DecisionEvent): Unit = when (event) {
+        is DecisionEvent.RequestServed -> {
+            statements.labelValues("served").inc()
+            duration.labelValues("yes").observe(event.tookMillis / MILLIS_PER_SECOND)
+            event.waitedMillis?.let { connectionWait.observe(it / MILLIS_PER_SECOND) } ?: Unit
+        }
+        is DecisionEvent.RequestFailed -> {
+            statements.labelValues(event.error.kind.name.lowercase()).inc()
+            duration.labelValues("no").observe(event.tookMillis / MILLIS_PER_SECOND)
+        }
+        is DecisionEvent.TransactionExpired -> expired.inc()
+    }
+
+    companion object {
+        private const val MILLIS_PER_SECOND = 1_000.0
+        private val DURATION_BOUNDS = doubleArrayOf(0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0)
+
+        /** A gauge whose value is read when metrics are asked for. */
+        fun gauge(registry: PrometheusRegistry, name: String, help: String, value: () -> Double) {
+            GaugeWithCallback.builder().name(name).help(help).callback { it.call(value()) }.register(registry)
+        }
+    }
+}
--- a/daemon/src/test/kotlin/org/buckthornhub/connection/SessionTaskTest.kt
+++ b/daemon/src/test/kotlin/org/buckthornhub/connection/SessionTaskTest.kt
@@ -94,6 +94,14 @@
         assertEquals(0, leader.commits)
     }
 
+    @Test
+    fun `a connection that says nothing is not kept`() = runTest {
+        val fleet = FakeFleet(this, listOf(FakeInstance("leader", TargetRole.PRIMARY, applied = 7))).also { it.start() }
+        val silent = fleet.caller()
+        delay(10_100)
+        assertTrue(silent.isClosed)
+    }
+
     @Test
     fun `a route that is gone turns its callers away`() = runTest {
         val fleet = FakeFleet(this, listOf(FakeInstance("leader", TargetRole.PRIMARY, applied = 7))).also { it.start() }
--- a/runtime/src/main/kotlin/org/buckthornhub/http/HttpServer.kt
+++ b/runtime/src/main/kotlin/org/buckthornhub/http/HttpServer.kt
@@ -5,6 +5,7 @@
 import io.ktor.http.HttpStatusCode
 import io.ktor.server.application.ApplicationCall
 import io.ktor.server.engine.EmbeddedServer
+import io.ktor.server.engine.connector
 import io.ktor.server.engine.embeddedServer
 import io.ktor.server.netty.Netty
 import io.ktor.server.netty.NettyApplicationEngine
@@ -24,6 +25,7 @@
  * An HTTP server on NIO.
  *
  * @param host address to listen on
+ * @param otherPorts ports of the same address that give the same answers
  * @param maxBodyBytes a larger body gets status 413
  * @param onFault answers a handler that threw; callers never see a stack trace
  */
@@ -34,9 +36,20 @@
     private val maxBodyBytes: Long = DEFAULT_MAX_BODY_BYTES,
     private val tooLarge: HttpReply = HttpReply(PAYLOAD_TOO_LARGE, "{}"),
     private val onFault: HttpReply = HttpReply(SERVER_ERROR, "{}"),
+    otherPorts: List<Int> = emptyList(),
 ) {
     private val engine: EmbeddedServer<NettyApplicationEngine, NettyApplicationEngine.Configuration> =
-        embeddedServer(Netty, port = port, host = host) {
+        embeddedServer(
+            Netty,
+            configure = {
+                (listOf(port) + otherPorts).forEach { each ->
+                    connector {
+                        this.host = host
+                        this.port = each
+                    }
+                }
+            },
+        ) {
             routing {
                 routes.forEach { route ->
                     route(route.path, route.method) { handle { answer(call, route.handler) } }
