Let large entries of the control log arrive: bounded batches, time by size, no copies in the queue

After all power was lost, the control quorum changed its leader for 12 s on end. The configuration had some 360 routes by then, and had changed often: up to 128 entries of about 200 KB went into one message, which was over the limit of a body, cut short by the time-out of 400 ms (decoding failed: "Value must follow key in a map"), and queued again with every heartbeat, up to 64 times, so that confirmations came too late and leaders stepped down. Ruled out: a lost majority (all four control VMs ran, none ended by itself).

--- a/daemon/src/main/kotlin/org/buckthornhub/control/MemberLinkTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/control/MemberLinkTask.kt
@@ -15,11 +15,12 @@
     links: HttpLink.Factory,
     private val authority: PeerAuthority,
     private val onAnswer: (PeerMessage) -> Unit,
-) : Task<PeerMessage>("member-link-$address", capacity = 64) {
+) : Task<PeerMessage>("member-link-$address", MAX_WAITING) {
     private val link = links.open(address)
 
     override suspend fun handle(message: PeerMessage) {
-        val reply = link.post(PATH, PeerJson.encodeToString(PeerMessage.serializer(), message), TIMEOUT_MILLIS, authority.headers()).get()
+        val body = PeerJson.encodeToString(PeerMessage.serializer(), message)
+        val reply = link.post(PATH, body, TIMEOUT_MILLIS + body.length / CHARS_PER_MILLI, authority.headers()).get()
         if (reply != null && reply.isSuccess) decode(reply.body).forEach(onAnswer)
     }
 
@@ -34,5 +35,11 @@
     internal companion object {
         const val PATH = "/internal/control/message"
         private const val TIMEOUT_MILLIS = 400L
+
+        /** A VM that has just started reads and syncs about this much in a millisecond. */
+        private const val CHARS_PER_MILLI = 250
+
+        /** A leader repeats entries until they are acknowledged: more than this would only be the same ones again. */
+        private const val MAX_WAITING = 2
     }
 }
--- a/daemon/src/main/kotlin/org/buckthornhub/daemon/ControlVmAssembly.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/daemon/ControlVmAssembly.kt
@@ -60,6 +60,7 @@
                 ReportRoutes(control, coordinator, control.memberVms, clock).routes() +
                 routeTables.routes() +
                 announcements.routes(),
+            MAX_BODY_BYTES,
         )
 
     init {
@@ -101,12 +102,23 @@
                 isOpen = true,
                 heartbeatMillis = HEARTBEAT_MILLIS,
                 electionMillis = ELECTION_MILLIS,
+                compactAfter = COMPACT_AFTER,
+                batchLimit = BATCH_ENTRIES,
             )
         val seed = clock.wallMillis() xor settings.vm.hashCode().toLong()
         return ControlTask(ReplicationState(opened.self, replication, seed, opened.state), opened.storage, memberLinks, clock)
     }
 
     private companion object {
+        /** A route table of some hundred routes takes 300 KB of heap, which is some tens of MB; a snapshot holds one. */
+        const val COMPACT_AFTER = 16
+
+        /** Route tables in one message: they have to arrive before the next election. */
+        const val BATCH_ENTRIES = 2
+
+        /** The largest message: two large route tables with the operator's text. */
+        const val MAX_BODY_BYTES = 4_194_304L
+
         /** Bounds the age of the proof that daemons get with each answer; in ms. */
         const val HEARTBEAT_MILLIS = 150L
 
