--- a/core/src/main/kotlin/org/buckthornhub/failover/FailoverDecider.kt
+++ b/core/src/main/kotlin/org/buckthornhub/failover/FailoverDecider.kt
@@ -20,7 +20,6 @@
             is FailoverMessage.Review -> review(state, message, nowMillis)
             is FailoverMessage.Surveyed -> surveyed(state, message)
             is FailoverMessage.Ordered -> ordered(state, message, nowMillis)
-            is FailoverMessage.Deposed -> Decision(FailoverState())
         }
 
     private fun review(state: FailoverState, message: FailoverMessage.Review, nowMillis: Long): Decision<FailoverState, FailoverEffect> =
@@ -113,7 +112,7 @@
                 persistentListOf(FailoverEffect.Note(group, "no candidate", phase.reason)),
             )
         return Decision(
-            state.with(group, FailoverPhase.Promoting(best.key, attempt = 1, phase.reason)),
+            state.with(group, FailoverPhase.Promoting(best.key, phase.reason)),
             persistentListOf(
                 FailoverEffect.Note(group, "promote ${best.key} at ${best.value.received}", phase.reason),
                 FailoverEffect.Promote(group, best.key, delayMillis = 0),
@@ -137,7 +136,7 @@
             )
             // Another instance must not be named: the first order may still be carried out after the second.
             PromotionOutcome.UNKNOWN -> Decision(
-                state.with(message.group, phase.copy(attempt = phase.attempt + 1)),
+                state,
                 persistentListOf(FailoverEffect.Promote(message.group, phase.target, delayMillis = REPEAT_MILLIS)),
             )
         }
--- a/core/src/main/kotlin/org/buckthornhub/failover/FailoverMessage.kt
+++ b/core/src/main/kotlin/org/buckthornhub/failover/FailoverMessage.kt
@@ -28,7 +28,4 @@
         val target: TargetId,
         val outcome: PromotionOutcome,
     ) : FailoverMessage
-
-    /** This VM no longer leads the control quorum. */
-    public data object Deposed : FailoverMessage
 }
--- a/core/src/main/kotlin/org/buckthornhub/failover/FailoverPhase.kt
+++ b/core/src/main/kotlin/org/buckthornhub/failover/FailoverPhase.kt
@@ -19,7 +19,6 @@
     /** The order for [target] is under way; it is repeated for the same instance until there is a clear answer. */
     public data class Promoting(
         val target: TargetId,
-        val attempt: Int,
         val reason: String,
     ) : FailoverPhase
 
--- a/core/src/main/kotlin/org/buckthornhub/instancepool/PoolDecider.kt
+++ b/core/src/main/kotlin/org/buckthornhub/instancepool/PoolDecider.kt
@@ -20,7 +20,6 @@
 
     override fun decide(state: PoolState, message: PoolMessage, nowMillis: Long): Decision<PoolState, PoolEffect> = when (message) {
         is PoolMessage.Acquire -> serve(state.copy(waiting = state.waiting.add(message.waiting)), nowMillis)
-        is PoolMessage.GiveUp -> Decision(state.copy(waiting = state.waiting.removeAll { it.token == message.token }))
         is PoolMessage.Returned -> returned(state, message, nowMillis).then { serve(it, nowMillis) }
         is PoolMessage.Opened -> opened(state, message, nowMillis).then { serve(it, nowMillis) }
         is PoolMessage.OpenFailed -> serve(openFailed(state, message, nowMillis), nowMillis)
@@ -105,7 +104,7 @@
         val coming: List<Pair<GroupId, OrganisationId>> =
             state.instances.values.flatMap { instance -> instance.opening.values.map { instance.record.group to it } }
         return order.fold(start to coming) { (decision, open), waiting ->
-            val key = waiting.want.group to (waiting.want.organisation ?: NOBODY)
+            val key = waiting.want.group to (waiting.want.organisation ?: OrganisationId.NONE)
             val isComing = key in open
             val next = place(decision.state, waiting, mayOpen = !isComing, nowMillis)
             val isLent = next != null && next.effects.any { it is PoolEffect.Lend }
@@ -123,7 +122,7 @@
         val warm = instance.idle.lastOrNull { waiting.want.organisation == null || it.state.organisation == waiting.want.organisation }
         return when {
             warm != null -> lend(state, instance, warm, waiting)
-            mayOpen -> open(state, instance, waiting.want.organisation ?: NOBODY, limit)
+            mayOpen -> open(state, instance, waiting.want.organisation ?: OrganisationId.NONE, limit)
             else -> null
         }
     }
@@ -166,8 +165,5 @@
 
         /** An instance that gave any answer within this time is not silent; a few statements take as long. In ms. */
         const val SILENT_MILLIS = 300L
-
-        /** Stands for the daemon itself where a target asks who connects. */
-        val NOBODY = OrganisationId("-")
     }
 }
--- a/core/src/main/kotlin/org/buckthornhub/instancepool/PoolMessage.kt
+++ b/core/src/main/kotlin/org/buckthornhub/instancepool/PoolMessage.kt
@@ -10,9 +10,6 @@
 public sealed interface PoolMessage {
     public data class Acquire(val waiting: WaitingWant) : PoolMessage
 
-    /** The asker of [token] is gone. */
-    public data class GiveUp(val token: Long) : PoolMessage
-
     /**
      * A session is done with a connection.
      *
--- a/core/src/main/kotlin/org/buckthornhub/organisation/OrganisationId.kt
+++ b/core/src/main/kotlin/org/buckthornhub/organisation/OrganisationId.kt
@@ -8,4 +8,9 @@
 @JvmInline
 public value class OrganisationId(public val value: String) {
     override fun toString(): String = value
+
+    public companion object {
+        /** Stands where a name is asked for and no organisation is behind it: callers without a key, and daemons themselves. */
+        public val NONE: OrganisationId = OrganisationId("-")
+    }
 }
--- a/core/src/test/kotlin/org/buckthornhub/failover/FailoverDeciderTest.kt
+++ b/core/src/test/kotlin/org/buckthornhub/failover/FailoverDeciderTest.kt
@@ -42,7 +42,7 @@
 
     @Test
     fun `an unanswered order is repeated for the same instance, and a refused one leads to another`() {
-        val promoting = FailoverState().with(group, FailoverPhase.Promoting(near.target, attempt = 1, reason = "test"))
+        val promoting = FailoverState().with(group, FailoverPhase.Promoting(near.target, reason = "test"))
         val unanswered = decider.decide(promoting, FailoverMessage.Ordered(group, near.target, PromotionOutcome.UNKNOWN), 0)
         assertEquals(near.target, assertIs<FailoverEffect.Promote>(unanswered.effects.single()).target)
         val refused = decider.decide(unanswered.state, FailoverMessage.Ordered(group, near.target, PromotionOutcome.REFUSED), 10)
@@ -52,7 +52,7 @@
 
     @Test
     fun `a promoted instance has time to show itself`() {
-        val promoting = FailoverState().with(group, FailoverPhase.Promoting(near.target, attempt = 1, reason = "test"))
+        val promoting = FailoverState().with(group, FailoverPhase.Promoting(near.target, reason = "test"))
         val done = decider.decide(promoting, FailoverMessage.Ordered(group, near.target, PromotionOutcome.DONE), 0).state
         val review = FailoverMessage.Review(listOf(leader, near, far), setOf(leader.target))
         assertTrue(decider.decide(done, review, 2_000).effects.isEmpty())
--- a/daemon/src/main/kotlin/org/buckthornhub/connection/AdmissionGate.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/AdmissionGate.kt
@@ -21,7 +21,7 @@
             ?: return Err(ProxyError(ErrorKind.DATABASE_UNKNOWN, "no route leads from database ${caller.database}"))
         val holder = table.holderOf(caller.key)
         if (holder == null && !route.isAnonymous) return Err(ProxyError(ErrorKind.KEY_UNKNOWN, "no organisation holds this key"))
-        return Ok(Admission(route, holder?.organisation ?: ANONYMOUS))
+        return Ok(Admission(route, holder?.organisation ?: OrganisationId.NONE))
     }
 
     /** [check], and counts one operation of the organisation; also fails with `RATE_EXCEEDED`. */
@@ -50,8 +50,6 @@
         view.table != null && view.isFresh(environment.clock, environment.settings.keyFreshMillis)
 
     private companion object {
-        val ANONYMOUS = OrganisationId("-")
-
         /** An election takes about this long. */
         const val STALE_RETRY_MILLIS = 1_000L
     }
--- a/daemon/src/main/kotlin/org/buckthornhub/connection/LeaderStatements.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/LeaderStatements.kt
@@ -7,8 +7,6 @@
 import org.buckthornhub.error.ProxyError
 import org.buckthornhub.instancepool.ConnectionNeed
 import org.buckthornhub.instancepool.ConnectionWant
-import org.buckthornhub.instancepool.PoolCommand
-import org.buckthornhub.instancepool.PoolMessage
 import org.buckthornhub.instancepool.TargetLease
 import org.buckthornhub.statement.RequestId
 import org.buckthornhub.target.TargetId
@@ -53,7 +51,7 @@
 
     /** What a refusal of the leader leads to; one that no longer leads is not asked again. */
     fun outcomeOf(target: TargetId, reply: TargetReply.Refused): RunOutcome {
-        if (reply.refusal == TargetRefusal.NOT_LEADING) environment.pool.offer(PoolCommand.Decide(PoolMessage.Demoted(target)))
+        if (reply.refusal == TargetRefusal.NOT_LEADING) environment.pool.demote(target)
         val error = TargetErrors.of(target, reply)
         return when (reply.refusal) {
             TargetRefusal.NOT_LEADING, TargetRefusal.PREPARED_UNKNOWN, TargetRefusal.OTHER_INSTANCE -> RunOutcome.Again(null, error)
--- a/daemon/src/main/kotlin/org/buckthornhub/connection/TransactionRun.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/TransactionRun.kt
@@ -8,8 +8,6 @@
 import kotlinx.coroutines.launch
 import org.buckthornhub.error.ErrorKind
 import org.buckthornhub.error.ProxyError
-import org.buckthornhub.instancepool.PoolCommand
-import org.buckthornhub.instancepool.PoolMessage
 import org.buckthornhub.instancepool.TargetLease
 import org.buckthornhub.routetable.ReadGuarantee
 import org.buckthornhub.statement.RequestId
@@ -69,7 +67,7 @@
             return Ok(reply)
         }
         val refused = reply as TargetReply.Refused
-        if (refused.refusal == TargetRefusal.NOT_LEADING) demote(lease.instance.target)
+        if (refused.refusal == TargetRefusal.NOT_LEADING) environment.pool.demote(lease.instance.target)
         // A refused commit may have ended the transaction already.
         if (refused.phase == SessionPhase.IDLE) release(lease) else rollBack()
         return Err(TargetErrors.of(lease.instance.target, refused))
@@ -86,10 +84,6 @@
         return ProxyError(ErrorKind.TRANSACTION_ABORTED, "${lease.instance.target} was lost in a transaction: ${failure.detail}")
     }
 
-    private fun demote(target: TargetId) {
-        environment.pool.offer(PoolCommand.Decide(PoolMessage.Demoted(target)))
-    }
-
     private suspend fun leaseFor(session: SessionState, open: TransactionState.Open): Result<TargetLease, ProxyError> {
         lease?.let { return Ok(it) }
         var excluded: Set<TargetId> = emptySet()
@@ -128,7 +122,7 @@
         }
         if (reply is TargetReply.Refused) {
             lease.giveBack()
-            if (reply.refusal == TargetRefusal.NOT_LEADING) demote(target)
+            if (reply.refusal == TargetRefusal.NOT_LEADING) environment.pool.demote(target)
             return Err(RunOutcome.Again(target, TargetErrors.of(target, reply)))
         }
         isAtLeader = floor == null
--- a/daemon/src/main/kotlin/org/buckthornhub/control/ControlRoutes.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/control/ControlRoutes.kt
@@ -1,10 +1,10 @@
 package org.buckthornhub.control
 
+import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.mapBoth
 import io.ktor.http.HttpMethod
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.withTimeoutOrNull
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.builtins.ListSerializer
 import org.buckthornhub.caller.errorReply
 import org.buckthornhub.error.ErrorKind
@@ -14,6 +14,7 @@
 import org.buckthornhub.http.PeerJson
 import org.buckthornhub.http.Route
 import org.buckthornhub.peer.PeerAuthority
+import org.buckthornhub.peer.withPeerBody
 import org.buckthornhub.replication.PeerMessage
 
 /** What a control VM takes from the other ones, and what its leader takes from any daemon. */
@@ -26,29 +27,17 @@
         Route(HttpMethod.Post, PROPOSE, authority.guard(LeaderGuard(task.leadership).guard { propose(it) })),
     )
 
-    private suspend fun receive(request: HttpRequest): HttpReply {
-        val message =
-            try {
-                PeerJson.decodeFromString(PeerMessage.serializer(), request.body)
-            } catch (e: SerializationException) {
-                return errorReply(ProxyError(ErrorKind.MALFORMED_REQUEST, e.message.orEmpty().lineSequence().first()))
-            }
+    private suspend fun receive(request: HttpRequest): HttpReply = withPeerBody(request, PeerMessage.serializer()) { message ->
         val answers = CompletableDeferred<List<PeerMessage>>()
         task.offer(ControlMessage.Exchange(message, answers))
         val back = withTimeoutOrNull(EXCHANGE_TIMEOUT_MILLIS) { answers.await() }.orEmpty()
-        return HttpReply(status = 200, body = PeerJson.encodeToString(ListSerializer(PeerMessage.serializer()), back))
+        HttpReply(status = 200, body = PeerJson.encodeToString(ListSerializer(PeerMessage.serializer()), back))
     }
 
-    private suspend fun propose(request: HttpRequest): HttpReply {
-        val command =
-            try {
-                PeerJson.decodeFromString(ControlCommand.serializer(), request.body)
-            } catch (e: SerializationException) {
-                return errorReply(ProxyError(ErrorKind.MALFORMED_REQUEST, e.message.orEmpty().lineSequence().first()))
-            }
+    private suspend fun propose(request: HttpRequest): HttpReply = withPeerBody(request, ControlCommand.serializer()) { command ->
         val result = withTimeoutOrNull(COMMIT_TIMEOUT_MILLIS) { task.propose(command) }
-            ?: return errorReply(ProxyError(ErrorKind.NO_QUORUM, "no majority answered within $COMMIT_TIMEOUT_MILLIS ms"))
-        return result.mapBoth(
+            ?: Err(ProxyError(ErrorKind.NO_QUORUM, "no majority answered within $COMMIT_TIMEOUT_MILLIS ms"))
+        result.mapBoth(
             success = { HttpReply(status = 200, body = PeerJson.encodeToString(CommandOutcome.serializer(), it)) },
             failure = { errorReply(it) },
         )
--- a/daemon/src/main/kotlin/org/buckthornhub/coordination/AnnouncementDesk.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/coordination/AnnouncementDesk.kt
@@ -2,19 +2,15 @@
 
 import com.github.michaelbull.result.getOrElse
 import io.ktor.http.HttpMethod
-import kotlinx.serialization.SerializationException
-import org.buckthornhub.caller.errorReply
 import org.buckthornhub.control.ControlClient
 import org.buckthornhub.control.ControlTask
 import org.buckthornhub.control.LeaderGuard
 import org.buckthornhub.directory.InstanceRecord
-import org.buckthornhub.error.ErrorKind
-import org.buckthornhub.error.ProxyError
 import org.buckthornhub.fleet.VmId
 import org.buckthornhub.http.HttpReply
-import org.buckthornhub.http.HttpRequest
 import org.buckthornhub.http.PeerJson
 import org.buckthornhub.http.Route
+import org.buckthornhub.peer.withPeerBody
 import org.buckthornhub.target.TargetId
 
 /** Takes what instances say of themselves on any control VM, and has the leader know it before they are answered. */
@@ -43,10 +39,10 @@
                 HttpMethod.Post,
                 ANNOUNCE,
                 guard.guard {
-                    decoded(it) { announce(PeerJson.decodeFromString(InstanceRecord.serializer(), it)) }
+                    withPeerBody(it, InstanceRecord.serializer()) { record -> replyTo(announce(record)) }
                 },
             ),
-            Route(HttpMethod.Post, END, guard.guard { decoded(it) { end(PeerJson.decodeFromString(TargetId.serializer(), it)) } }),
+            Route(HttpMethod.Post, END, guard.guard { withPeerBody(it, TargetId.serializer()) { target -> replyTo(end(target)) } }),
         )
     }
 
@@ -56,11 +52,7 @@
         return to.takeIf { reply.isSuccess }
     }
 
-    private suspend fun decoded(request: HttpRequest, take: suspend (String) -> VmId?): HttpReply = try {
-        if (take(request.body) != null) HttpReply(status = 200, body = "{}") else HttpReply(UNAVAILABLE, "{}")
-    } catch (e: SerializationException) {
-        errorReply(ProxyError(ErrorKind.MALFORMED_REQUEST, e.message.orEmpty().lineSequence().first()))
-    }
+    private fun replyTo(leader: VmId?): HttpReply = HttpReply(if (leader != null) OK else UNAVAILABLE, "{}")
 
     private companion object {
         const val ANNOUNCE = "/internal/instances/announce"
@@ -68,6 +60,7 @@
 
         /** Instances wait a second for their answer; in ms. */
         const val PASS_MILLIS = 700L
+        const val OK = 200
         const val UNAVAILABLE = 503
     }
 }
--- a/daemon/src/main/kotlin/org/buckthornhub/coordination/ReportRoutes.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/coordination/ReportRoutes.kt
@@ -4,18 +4,15 @@
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.flow.merge
 import kotlinx.coroutines.withTimeoutOrNull
-import kotlinx.serialization.SerializationException
-import org.buckthornhub.caller.errorReply
 import org.buckthornhub.clock.Clock
 import org.buckthornhub.control.ControlTask
-import org.buckthornhub.error.ErrorKind
-import org.buckthornhub.error.ProxyError
 import org.buckthornhub.fleet.StateSource
 import org.buckthornhub.fleet.VmId
 import org.buckthornhub.http.HttpReply
 import org.buckthornhub.http.HttpRequest
 import org.buckthornhub.http.PeerJson
 import org.buckthornhub.http.Route
+import org.buckthornhub.peer.withPeerBody
 
 /** Answers daemons that serve sessions: the leader holds a question back until there is something new. */
 internal class ReportRoutes(
@@ -28,18 +25,13 @@
 
     private suspend fun answer(request: HttpRequest): HttpReply {
         val receivedMillis = clock.nowMillis()
-        val report =
-            try {
-                PeerJson.decodeFromString(ProxyReport.serializer(), request.body)
-            } catch (e: SerializationException) {
-                return errorReply(ProxyError(ErrorKind.MALFORMED_REQUEST, e.message.orEmpty().lineSequence().first()))
+        return withPeerBody(request, ProxyReport.serializer()) { report ->
+            if (control.leadership.current().isLeader) {
+                coordinator.offer(CoordinatorMessage.Reported(report))
+                awaitNews(report)
             }
-        if (control.leadership.current().isLeader) {
-            coordinator.offer(CoordinatorMessage.Reported(report))
-            awaitNews(report)
+            HttpReply(status = 200, body = PeerJson.encodeToString(ProxyNews.serializer(), newsFor(report, receivedMillis)))
         }
-        val news = newsFor(report, receivedMillis)
-        return HttpReply(status = 200, body = PeerJson.encodeToString(ProxyNews.serializer(), news))
     }
 
     private suspend fun awaitNews(report: ProxyReport) {
--- a/daemon/src/main/kotlin/org/buckthornhub/horizon/HorizonTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/horizon/HorizonTask.kt
@@ -20,8 +20,6 @@
 import org.buckthornhub.group.Position
 import org.buckthornhub.instancepool.ConnectionNeed
 import org.buckthornhub.instancepool.ConnectionWant
-import org.buckthornhub.instancepool.PoolCommand
-import org.buckthornhub.instancepool.PoolMessage
 import org.buckthornhub.instancepool.PoolTask
 import org.buckthornhub.target.TargetId
 import org.buckthornhub.task.Task
@@ -111,7 +109,7 @@
             return false
         }
         if (reply is TargetReply.Refused && reply.refusal == TargetRefusal.NOT_LEADING) {
-            pool.offer(PoolCommand.Decide(PoolMessage.Demoted(lease.instance.target)))
+            pool.demote(lease.instance.target)
         }
         if (reply is TargetReply.Completed) {
             learn(group, askedMillis, reply.position)
--- a/daemon/src/main/kotlin/org/buckthornhub/instancepool/PoolTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/instancepool/PoolTask.kt
@@ -15,6 +15,7 @@
 import org.buckthornhub.connection.TargetLink
 import org.buckthornhub.error.ErrorKind
 import org.buckthornhub.error.ProxyError
+import org.buckthornhub.target.TargetId
 import org.buckthornhub.task.Task
 import org.buckthornhub.task.startTicker
 
@@ -49,6 +50,11 @@
         }
     }
 
+    /** Tells that [target] refused to lead. */
+    fun demote(target: TargetId) {
+        offer(PoolCommand.Decide(PoolMessage.Demoted(target)))
+    }
+
     override suspend fun onStart(scope: CoroutineScope) {
         this.scope = scope
         scope.startTicker(this, TICK_MILLIS, PoolCommand.Decide(PoolMessage.Tick))
