Keep a part of each limit with the control leader, for daemons that have used up theirs

Each daemon held a part that followed demand with a delay, and all of them fell to 30 % of it whenever the control leader changed.

Ruled out: a larger part for everybody (breaks the limit when callers move), and reports more often (the delay stays).

Change: the leader keeps 40 % of rate and burst, and a daemon whose part is empty draws on it; an operation waits 40 ms at most. A new leader's reserve starts empty, and one that has heard no majority for 500 ms gives nothing. Silent daemons keep their part until they can't serve any more.

Bodies of peers that are cut short are refused as malformed.

--- a/core/src/main/kotlin/org/buckthornhub/quota/DemandBoard.kt
+++ b/core/src/main/kotlin/org/buckthornhub/quota/DemandBoard.kt
@@ -5,7 +5,7 @@
 import org.buckthornhub.fleet.VmId
 import org.buckthornhub.organisation.OrganisationId
 
-/** The newest demand of each daemon, from which the limits of organisations are divided among them. */
+/** The newest demand of each daemon, by which the limits of organisations are divided among them. */
 public data class DemandBoard(val reports: PersistentMap<VmId, TimedDemand> = persistentMapOf()) {
     public fun with(vm: VmId, report: DemandReport, nowMillis: Long): DemandBoard =
         DemandBoard(reports.put(vm, TimedDemand(report, nowMillis)))
@@ -17,20 +17,12 @@
     }
 
     /**
-     * The part of each organisation's limit that [vm] may use; the parts that daemons may use add up to at most 1.
+     * The part of each organisation's limit that [vm] may use without asking, of what the reserve leaves.
      *
-     * A daemon that has not been heard for a while uses only [SILENT_PART] of its own part, and the others get the rest.
+     * The parts of all daemons add up to 1. One that is not heard keeps its part, as it may still serve callers.
      */
-    public fun sharesOf(vm: VmId, organisations: Collection<OrganisationId>, nowMillis: Long): Map<OrganisationId, Double> =
-        organisations.associateWith { organisation ->
-            val parts = reports.keys.associateWith { partOf(it, organisation) }
-            val silent = parts.filterKeys { isSilent(it, nowMillis) }.values.sum()
-            val others = parts.values.sum() - silent
-            val own = parts[vm] ?: (1.0 / (reports.size + 1))
-            if (isSilent(vm, nowMillis) || others <= 0) own else own * (1 - silent * SILENT_PART) / others
-        }
-
-    private fun isSilent(vm: VmId, nowMillis: Long): Boolean = reports[vm]?.let { nowMillis - it.atMillis > SILENT_MILLIS } ?: false
+    public fun sharesOf(vm: VmId, organisations: Collection<OrganisationId>): Map<OrganisationId, Double> =
+        organisations.associateWith { if (vm in reports) partOf(vm, it) else 1.0 / (reports.size + 1) }
 
     private fun partOf(vm: VmId, organisation: OrganisationId): Double {
         val total = reports.values.sumOf { it.report.perSecond[organisation] ?: 0.0 }
@@ -39,20 +31,11 @@
         return EVEN_PART / reports.size + (1 - EVEN_PART) * own / total
     }
 
-    public companion object {
-        /** What a daemon that has heard nothing lately may use of its part; it serves few callers then. */
-        public const val SILENT_PART: Double = 0.3
-
-        /** From this age of its newest proof a daemon takes itself to be silent; in ms. */
-        public const val SELF_SILENT_MILLIS: Long = 1_000
-
-        /** The leader is later to think so than the daemon itself, whose proof is older than its report. In ms. */
-        private const val SILENT_MILLIS = 1_500L
-
+    private companion object {
         /** The part that is divided evenly, so that a new caller finds some anywhere. */
-        private const val EVEN_PART = 0.25
+        const val EVEN_PART = 0.25
 
         /** A daemon that is cut off stops serving keys after 5 s at the latest; until then its part stays its own. In ms. */
-        private const val KEPT_MILLIS = 6_000L
+        const val KEPT_MILLIS = 6_000L
     }
 }
--- a/core/src/main/kotlin/org/buckthornhub/quota/MeterRate.kt
+++ b/core/src/main/kotlin/org/buckthornhub/quota/MeterRate.kt
@@ -1,11 +1,14 @@
 package org.buckthornhub.quota
 
-/** What one daemon may let through for one organisation: its part of the rate and of the burst. */
+/** What one holder of tokens may let through for one organisation: its part of the rate and of the burst. */
 public data class MeterRate(
     val ratePerSecond: Double,
     val burst: Double,
 ) {
-    /** Refills [state]; a burst that shrank takes tokens away, one that grew gives none. */
+    /** The [part] of this that somebody holds apart from others. */
+    public fun part(part: Double): MeterRate = MeterRate(ratePerSecond * part, burst * part)
+
+    /** Refills [state]; a burst that shrank takes tokens away, one that grew gives none. A new meter starts full. */
     public fun refill(state: MeterState?, nowMillis: Long): MeterState {
         if (state == null) return MeterState(burst, nowMillis)
         val earned = (nowMillis - state.atMillis).coerceAtLeast(0) * ratePerSecond / MILLIS_PER_SECOND
--- a/core/src/main/kotlin/org/buckthornhub/routetable/OrganisationAccess.kt
+++ b/core/src/main/kotlin/org/buckthornhub/routetable/OrganisationAccess.kt
@@ -3,6 +3,7 @@
 import kotlinx.serialization.Serializable
 import org.buckthornhub.organisation.KeyDigest
 import org.buckthornhub.organisation.OrganisationId
+import org.buckthornhub.quota.MeterRate
 
 /**
  * Who an organisation is known by, and how much it may ask for.
@@ -17,4 +18,7 @@
     val ratePerSecond: Double,
     val burst: Double,
     val priority: Int = 0,
-)
+) {
+    /** What the whole fleet may let through. */
+    public val limit: MeterRate get() = MeterRate(ratePerSecond, burst)
+}
--- a/daemon/src/main/kotlin/org/buckthornhub/coordination/ProxyView.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/coordination/ProxyView.kt
@@ -4,9 +4,9 @@
 import org.buckthornhub.directory.InstanceDirectory
 import org.buckthornhub.fleet.VmId
 import org.buckthornhub.organisation.OrganisationId
-import org.buckthornhub.quota.DemandBoard
 import org.buckthornhub.quota.LimitTolerance
 import org.buckthornhub.quota.MeterRate
+import org.buckthornhub.quota.TokenReserve
 import org.buckthornhub.routetable.OrganisationAccess
 import org.buckthornhub.routetable.RouteTable
 
@@ -33,13 +33,15 @@
     /** Time since a majority stood behind [table]. */
     fun ageMillis(clock: Clock): Long? = proof?.ageMillis(clock.nowMillis(), clock.wallMillis())
 
-    /** What this daemon may let through for [access]; the tolerance goes to the burst, for callers who come unevenly. */
-    fun rateOf(access: OrganisationAccess, tolerance: LimitTolerance, clock: Clock): MeterRate {
+    /**
+     * What this daemon may let through for [access] without asking, of what the reserve leaves.
+     *
+     * The tolerance goes to the burst, for callers who come unevenly.
+     */
+    fun rateOf(access: OrganisationAccess, tolerance: LimitTolerance): MeterRate {
         val count = if (shares.isEmpty()) maxOf(proxies, FEWEST_PROXIES) else proxies
-        val part = shares[access.organisation] ?: (1.0 / count)
-        val share = if (isFresh(clock, DemandBoard.SELF_SILENT_MILLIS)) part else part * DemandBoard.SILENT_PART
-        val burst = access.burst * share * (1 + tolerance.part) + tolerance.operations / count
-        return MeterRate(access.ratePerSecond * share, burst)
+        val own = access.limit.part((1 - TokenReserve.PART) * (shares[access.organisation] ?: (1.0 / count)))
+        return own.copy(burst = own.burst * (1 + tolerance.part) + tolerance.operations / count)
     }
 
     private companion object {
--- a/daemon/src/main/kotlin/org/buckthornhub/coordination/ReportMessage.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/coordination/ReportMessage.kt
@@ -1,5 +1,6 @@
 package org.buckthornhub.coordination
 
+import kotlinx.coroutines.CompletableDeferred
 import org.buckthornhub.fleet.VmId
 import org.buckthornhub.target.TargetId
 
@@ -23,6 +24,12 @@
     /** The leaders that give this daemon no answer are others now. */
     data class Unreachable(val targets: Set<TargetId>) : ReportMessage
 
+    /** Ask the control leader for tokens; the answer is null if it gave none in time. */
+    data class Draw(
+        val request: ReserveRequest,
+        val answer: CompletableDeferred<ReserveGrant?>,
+    ) : ReportMessage
+
     /** The VMs that the settings name as introducers. */
     data class Introducers(val vms: List<VmId>) : ReportMessage
 }
--- a/daemon/src/main/kotlin/org/buckthornhub/coordination/ReportRoutes.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/coordination/ReportRoutes.kt
@@ -66,7 +66,7 @@
             directoryRevision = state.directoryRevision,
             instances = state.directory.records.values.toList().takeIf { leadership.isLeader && isDirectoryNew(report) },
             ended = if (leadership.isLeader) state.directory.ended else emptyMap(),
-            shares = if (isSettled && table != null) state.demand.sharesOf(report.vm, table.organisations.keys, nowMillis) else null,
+            shares = if (isSettled && table != null) state.demand.sharesOf(report.vm, table.organisations.keys) else null,
             proxies = maxOf(state.demand.reports.size, 1),
         )
     }
--- a/daemon/src/main/kotlin/org/buckthornhub/coordination/ReportTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/coordination/ReportTask.kt
@@ -1,22 +1,25 @@
 package org.buckthornhub.coordination
 
 import com.github.michaelbull.result.getOrElse
+import com.github.michaelbull.result.mapBoth
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.StateFlow
 import kotlinx.coroutines.launch
-import kotlinx.serialization.SerializationException
 import org.buckthornhub.clock.Clock
 import org.buckthornhub.fleet.StateSource
 import org.buckthornhub.fleet.VmId
 import org.buckthornhub.http.HttpLink
-import org.buckthornhub.http.PeerJson
+import org.buckthornhub.organisation.OrganisationId
+import org.buckthornhub.peer.ask
 import org.buckthornhub.quota.DemandReport
+import org.buckthornhub.quota.ReserveSource
 import org.buckthornhub.target.TargetId
 import org.buckthornhub.task.Task
 
@@ -28,7 +31,8 @@
     private val demand: StateSource<DemandReport>,
     private val unreachable: Flow<Set<TargetId>>,
     private val clock: Clock,
-) : Task<ReportMessage>("report") {
+) : Task<ReportMessage>("report"),
+    ReserveSource {
     private val published = MutableStateFlow(ProxyView())
     private var introducers: List<VmId> = emptyList()
     private var connections: PersistentMap<VmId, HttpLink> = persistentMapOf()
@@ -38,6 +42,11 @@
 
     val view: StateFlow<ProxyView> get() = published
 
+    override suspend fun draw(organisation: OrganisationId, tokens: Int): Int? {
+        val answer = CompletableDeferred<ReserveGrant?>()
+        return if (offer(ReportMessage.Draw(ReserveRequest(organisation, tokens), answer))) answer.await()?.tokens else null
+    }
+
     override suspend fun onStart(scope: CoroutineScope) {
         this.scope = scope
         scope.launch { unreachable.collect { offer(ReportMessage.Unreachable(it)) } }
@@ -50,6 +59,7 @@
         is ReportMessage.Ask -> ask()
         is ReportMessage.Answered -> answered(message)
         is ReportMessage.Failed -> failed(message)
+        is ReportMessage.Draw -> draw(message)
     }
 
     override fun onEnd(): Unit = connections.values.forEach { it.close() }
@@ -100,16 +110,30 @@
         scope.launch { offer(exchange(source, link, report)) }
     }
 
+    private fun draw(message: ReportMessage.Draw) {
+        val source = published.value.controlVms.firstOrNull()
+        if (source == null) {
+            message.answer.complete(null)
+            return
+        }
+        val link = linkTo(source)
+        scope.launch {
+            val grant = link.ask(ReserveRoutes.PATH, message.request, ReserveRequest.serializer(), ReserveGrant.serializer(), DRAW_MILLIS)
+            message.answer.complete(
+                grant.getOrElse { detail ->
+                    logger.debug { "no tokens from control VM $source: $detail" }
+                    null
+                },
+            )
+        }
+    }
+
     private suspend fun exchange(source: VmId, link: HttpLink, report: ProxyReport): ReportMessage {
         val asked = FreshProof(clock.nowMillis(), clock.wallMillis())
-        val body = PeerJson.encodeToString(ProxyReport.serializer(), report)
-        val reply = link.post(PATH, body, TIMEOUT_MILLIS).getOrElse { return ReportMessage.Failed(source, it.detail) }
-        if (!reply.isSuccess) return ReportMessage.Failed(source, "status ${reply.status}")
-        return try {
-            ReportMessage.Answered(source, asked, PeerJson.decodeFromString(ProxyNews.serializer(), reply.body))
-        } catch (e: SerializationException) {
-            ReportMessage.Failed(source, "the answer can't be read: ${e.message.orEmpty().lineSequence().first()}")
-        }
+        return link.ask(PATH, report, ProxyReport.serializer(), ProxyNews.serializer(), TIMEOUT_MILLIS).mapBoth(
+            success = { ReportMessage.Answered(source, asked, it) },
+            failure = { ReportMessage.Failed(source, it) },
+        )
     }
 
     private fun reportOf(view: ProxyView) = ProxyReport(
@@ -132,6 +156,9 @@
         /** Time that the leader may hold a question back, and some for the way; in ms. */
         private const val TIMEOUT_MILLIS = 900L
 
+        /** An operation waits for tokens no longer than for a connection at the shortest objectives; in ms. */
+        private const val DRAW_MILLIS = 40L
+
         /** In ms. */
         private const val RETRY_MILLIS = 100L
 
--- a/daemon/src/main/kotlin/org/buckthornhub/daemon/ControlVmAssembly.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/daemon/ControlVmAssembly.kt
@@ -13,6 +13,8 @@
 import org.buckthornhub.coordination.AnnouncementDesk
 import org.buckthornhub.coordination.CoordinatorTask
 import org.buckthornhub.coordination.ReportRoutes
+import org.buckthornhub.coordination.ReserveRoutes
+import org.buckthornhub.coordination.ReserveTask
 import org.buckthornhub.decisionlog.SessionMetrics
 import org.buckthornhub.failover.InstanceSurvey
 import org.buckthornhub.failover.PromotionOrders
@@ -41,6 +43,7 @@
     }
     private val control: ControlTask = openControl()
     private val coordinator = CoordinatorTask(settings.vm, control, survey, orders, clock)
+    private val reserve = ReserveTask(control, clock)
     private val leaderLink = MemberLeaderLink(control.leadership, { "${it.value}:${settings.port}" }, links)
 
     /** Route tables of operators, on whichever control VM they arrive. */
@@ -58,6 +61,7 @@
             settings.port,
             ControlRoutes(control, authority).routes() +
                 ReportRoutes(control, coordinator, control.memberVms, clock).routes() +
+                ReserveRoutes(reserve).routes() +
                 routeTables.routes() +
                 announcements.routes(),
             MAX_BODY_BYTES,
@@ -85,6 +89,7 @@
         memberLinks.start(scope)
         control.start(scope)
         coordinator.start(scope)
+        reserve.start(scope)
         server.start()
     }
 
--- a/daemon/src/main/kotlin/org/buckthornhub/daemon/SessionProxyAssembly.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/daemon/SessionProxyAssembly.kt
@@ -43,8 +43,8 @@
     private val registry = PrometheusRegistry()
     private val pool = PoolTask(PoolSettings(settings.zone, settings.leaderDrainMillis), targets, clock)
     private val horizons = HorizonTask(pool, clock)
-    private val meter = MeterTask(clock)
-    private val report =
+    private val meter = MeterTask({ organisation, tokens -> report.draw(organisation, tokens) }, clock)
+    private val report: ReportTask =
         ReportTask(settings.vm, { "${it.value}:${settings.controlPort}" }, links, meter, horizons.unreachable, clock)
     private val leaving = Job()
     private val stopping = Job()
--- a/daemon/src/main/kotlin/org/buckthornhub/peer/PeerBodies.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/peer/PeerBodies.kt
@@ -1,7 +1,6 @@
 package org.buckthornhub.peer
 
 import kotlinx.serialization.KSerializer
-import kotlinx.serialization.SerializationException
 import org.buckthornhub.caller.errorReply
 import org.buckthornhub.error.ErrorKind
 import org.buckthornhub.error.ProxyError
@@ -14,7 +13,8 @@
     val body =
         try {
             PeerJson.decodeFromString(serializer, request.body)
-        } catch (e: SerializationException) {
+        } catch (e: IllegalArgumentException) {
+            // Besides its own exception, the library throws this one for a body that was cut short.
             return errorReply(ProxyError(ErrorKind.MALFORMED_REQUEST, e.message.orEmpty().lineSequence().first()))
         }
     return action(body)
--- a/daemon/src/main/kotlin/org/buckthornhub/quota/MeterTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/quota/MeterTask.kt
@@ -5,71 +5,71 @@
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.launch
 import org.buckthornhub.clock.Clock
 import org.buckthornhub.fleet.StateSource
 import org.buckthornhub.organisation.OrganisationId
 import org.buckthornhub.task.Task
 import org.buckthornhub.task.startTicker
 
-/** Holds each organisation to this daemon's part of its limit, and measures what it asks for. */
-internal class MeterTask(private val clock: Clock) :
-    Task<MeterMessage>("meter"),
+/** Holds each organisation to its limit, and measures what it asks for. */
+internal class MeterTask(
+    private val reserve: ReserveSource,
+    private val clock: Clock,
+) : Task<MeterCommand>("meter"),
     StateSource<DemandReport> {
-    private var meters: PersistentMap<OrganisationId, MeterState> = persistentMapOf()
-    private var asked: PersistentMap<OrganisationId, Int> = persistentMapOf()
-    private var demand: PersistentMap<OrganisationId, Double> = persistentMapOf()
-    private val published = MutableStateFlow(DemandReport())
+    private val decider = MeterDecider()
+    private val book = MutableStateFlow(MeterBook())
+    private var asking: PersistentMap<Long, CompletableDeferred<Long?>> = persistentMapOf()
+    private var nextTicket = 0L
+    private lateinit var scope: CoroutineScope
 
     /** What this daemon was lately asked for. */
-    override fun current(): DemandReport = published.value
+    override fun current(): DemandReport = book.value.demand
 
     /** Null if the operation may run, else the ms after which to ask again. */
     suspend fun admit(organisation: OrganisationId, rate: MeterRate): Long? {
         val answer = CompletableDeferred<Long?>()
-        if (!offer(MeterMessage.Ask(organisation, rate, answer))) return OVERLOADED_MILLIS
-        return answer.await()
+        return if (offer(MeterCommand.Admit(organisation, rate, answer))) answer.await() else OVERLOADED_MILLIS
     }
 
     override suspend fun onStart(scope: CoroutineScope) {
-        scope.startTicker(this, TICK_MILLIS, MeterMessage.Tick)
+        this.scope = scope
+        scope.startTicker(this, MeterDecider.TICK_MILLIS, MeterCommand.Decide(MeterMessage.Tick))
     }
 
-    override suspend fun handle(message: MeterMessage): Unit = when (message) {
-        is MeterMessage.Ask -> ask(message)
-        is MeterMessage.Tick -> tick()
+    override suspend fun handle(message: MeterCommand): Unit = when (message) {
+        is MeterCommand.Decide -> decide(message.message)
+        is MeterCommand.Admit -> {
+            asking = asking.put(++nextTicket, message.answer)
+            decide(MeterMessage.Admit(nextTicket, message.organisation, message.rate))
+        }
     }
 
-    private fun ask(message: MeterMessage.Ask) {
-        val organisation = message.organisation
-        asked = asked.put(organisation, (asked[organisation] ?: 0) + 1)
-        val filled = message.rate.refill(meters[organisation], clock.nowMillis())
-        val isAdmitted = filled.tokens >= 1
-        meters = meters.put(organisation, if (isAdmitted) filled.copy(tokens = filled.tokens - 1) else filled)
-        message.answer.complete(if (isAdmitted) null else message.rate.retryAfterMillis(filled))
+    private fun decide(message: MeterMessage) {
+        val decision = decider.decide(book.value, message, clock.nowMillis())
+        book.value = decision.state
+        decision.effects.forEach { carryOut(it) }
     }
 
-    private fun tick() {
-        demand = (demand.keys + asked.keys).fold(demand) { map, organisation ->
-            val latest = (asked[organisation] ?: 0) * TICKS_PER_SECOND
-            val known = map[organisation] ?: 0.0
-            val weight = if (latest > known) RISE else FALL
-            val smoothed = known * (1 - weight) + latest * weight
-            if (smoothed < NEGLIGIBLE) map.remove(organisation) else map.put(organisation, smoothed)
+    private fun carryOut(effect: MeterEffect): Unit = when (effect) {
+        is MeterEffect.Admitted -> answer(effect.ticket, null)
+        is MeterEffect.Refused -> answer(effect.ticket, effect.retryAfterMillis)
+        is MeterEffect.Draw -> {
+            scope.launch {
+                val tokens = reserve.draw(effect.organisation, effect.tokens) ?: 0
+                report(MeterCommand.Decide(MeterMessage.Drawn(effect.organisation, effect.tokens, tokens)))
+            }
+            Unit
         }
-        asked = persistentMapOf()
-        published.value = DemandReport(demand)
     }
 
-    private companion object {
-        const val TICK_MILLIS = 250L
-        const val TICKS_PER_SECOND = 4.0
-
-        /** Weight of a quarter of a second with more than before: half a second until demand has mostly followed. */
-        const val RISE = 0.5
+    private fun answer(ticket: Long, retryAfterMillis: Long?) {
+        asking[ticket]?.complete(retryAfterMillis)
+        asking = asking.remove(ticket)
+    }
 
-        /** Weight of one with less: callers come unevenly, so a gap of some seconds takes little away. */
-        const val FALL = 0.05
-        const val NEGLIGIBLE = 0.01
+    private companion object {
         const val OVERLOADED_MILLIS = 1_000L
     }
 }
