Refuse within a quarter of the objective, replace a primary that never announced itself sooner, send callers away from a cut-off daemon

Ruled out: connections that hang (they are opened and dropped in time).

Change: one deadline from the arrival of the statement on, kept to the ms; leaderless time counts from when announcements could arrive; a refusal on a cut-off daemon ends the session.

Tests that failed first: a caller for whom there is no target (100 ms, now below), a group never led (4,000 ms, now 2,500), a refused caller of a cut-off daemon.

--- a/core/src/main/kotlin/org/buckthornhub/coordination/CoordinatorDecider.kt
+++ b/core/src/main/kotlin/org/buckthornhub/coordination/CoordinatorDecider.kt
@@ -55,7 +55,7 @@
     private fun review(state: CoordinatorState, nowMillis: Long): Decision<CoordinatorState, FailoverEffect> {
         val since = state.leadingSinceMillis ?: return Decision(state)
         if (nowMillis - since < SETTLE_MILLIS) return Decision(state)
-        return fail(state, FailoverMessage.Review(state.directory.records.values, unreachable(state)), nowMillis)
+        return fail(state, FailoverMessage.Review(state.directory.records.values, unreachable(state), since), nowMillis)
     }
 
     private fun unreachable(state: CoordinatorState): Set<TargetId> {
--- a/core/src/main/kotlin/org/buckthornhub/failover/FailoverDecider.kt
+++ b/core/src/main/kotlin/org/buckthornhub/failover/FailoverDecider.kt
@@ -24,15 +24,25 @@
 
     private fun review(state: FailoverState, message: FailoverMessage.Review, nowMillis: Long): Decision<FailoverState, FailoverEffect> =
         message.records.groupBy { it.group }.entries.fold(Decision(state)) { decision, (group, records) ->
-            decision.then { reviewGroup(noteLeader(it, group, records, nowMillis), group, records, message.unreachable, nowMillis) }
+            decision.then {
+                reviewGroup(noteLeader(it, group, records, message, nowMillis), group, records, message.unreachable, nowMillis)
+            }
         }
 
-    private fun noteLeader(state: FailoverState, group: GroupId, records: List<InstanceRecord>, nowMillis: Long): FailoverState {
-        val isLed = records.any { it.role == TargetRole.PRIMARY }
+    private fun noteLeader(
+        state: FailoverState,
+        group: GroupId,
+        records: List<InstanceRecord>,
+        message: FailoverMessage.Review,
+        nowMillis: Long,
+    ): FailoverState {
         val since = state.leaderlessSince
         return when {
-            isLed -> state.copy(leaderlessSince = since.remove(group))
+            records.any { it.role == TargetRole.PRIMARY } ->
+                state.copy(seenLed = state.seenLed.add(group), leaderlessSince = since.remove(group))
             group in since -> state
+            // A primary that lives would have announced itself since then.
+            group !in state.seenLed -> state.copy(leaderlessSince = since.put(group, message.listeningSinceMillis))
             else -> state.copy(leaderlessSince = since.put(group, nowMillis))
         }
     }
--- a/core/src/main/kotlin/org/buckthornhub/failover/FailoverMessage.kt
+++ b/core/src/main/kotlin/org/buckthornhub/failover/FailoverMessage.kt
@@ -10,10 +10,12 @@
      * Looks at every group.
      *
      * @property unreachable primaries that most daemons can't reach
+     * @property listeningSinceMillis since when instances could announce themselves here (local monotonic ms)
      */
     public data class Review(
         val records: Collection<InstanceRecord>,
         val unreachable: Set<TargetId>,
+        val listeningSinceMillis: Long,
     ) : FailoverMessage
 
     /** @property status null if [target] gave none */
--- a/core/src/test/kotlin/org/buckthornhub/failover/FailoverDeciderTest.kt
+++ b/core/src/test/kotlin/org/buckthornhub/failover/FailoverDeciderTest.kt
@@ -24,7 +24,7 @@
         var state = FailoverState()
         var promoted = listOf<String>()
         for (now in 0L..4_000L step 100) {
-            val review = decider.decide(state, FailoverMessage.Review(case.records, case.unreachable), now)
+            val review = decider.decide(state, FailoverMessage.Review(case.records, case.unreachable, listeningSinceMillis = 0), now)
             state = review.state
             for (survey in review.effects.filterIsInstance<FailoverEffect.Survey>()) {
                 val answered = decider.decide(
@@ -46,7 +46,11 @@
         val unanswered = decider.decide(promoting, FailoverMessage.Ordered(group, near.target, PromotionOutcome.UNKNOWN), 0)
         assertEquals(near.target, assertIs<FailoverEffect.Promote>(unanswered.effects.single()).target)
         val refused = decider.decide(unanswered.state, FailoverMessage.Ordered(group, near.target, PromotionOutcome.REFUSED), 10)
-        val again = decider.decide(refused.state, FailoverMessage.Review(listOf(near, far, leader), setOf(leader.target)), 20)
+        val again = decider.decide(
+            refused.state,
+            FailoverMessage.Review(listOf(near, far, leader), setOf(leader.target), listeningSinceMillis = 0),
+            20,
+        )
         assertEquals(listOf(far.target), again.effects.filterIsInstance<FailoverEffect.Survey>().map { it.target })
     }
 
@@ -54,11 +58,24 @@
     fun `a promoted instance has time to show itself`() {
         val promoting = FailoverState().with(group, FailoverPhase.Promoting(near.target, reason = "test"))
         val done = decider.decide(promoting, FailoverMessage.Ordered(group, near.target, PromotionOutcome.DONE), 0).state
-        val review = FailoverMessage.Review(listOf(leader, near, far), setOf(leader.target))
+        val review = FailoverMessage.Review(listOf(leader, near, far), setOf(leader.target), listeningSinceMillis = 0)
         assertTrue(decider.decide(done, review, 2_000).effects.isEmpty())
         assertTrue(decider.decide(decider.decide(done, review, 3_000).state, review, 3_100).effects.isNotEmpty())
     }
 
+    @ParameterizedTest
+    @MethodSource("silences")
+    fun `a group that nobody leads is given a primary after two announcements could have come`(case: SilenceCase) {
+        var state = FailoverState()
+        val surveyed = (case.firstReviewMillis..case.firstReviewMillis + 5_000 step 100).firstOrNull { now ->
+            val records = if (now < case.ledUntilMillis) listOf(leader, near, far) else listOf(near, far)
+            val decision = decider.decide(state, FailoverMessage.Review(records, emptySet(), listeningSinceMillis = 0), now)
+            state = decision.state
+            decision.effects.any { it is FailoverEffect.Survey }
+        }
+        assertEquals(case.surveyedMillis, surveyed)
+    }
+
     private companion object {
         private val group = GroupId("g")
         private val leader = record("leader", TargetRole.PRIMARY)
@@ -72,6 +89,13 @@
 
         private val bothAnswer = mapOf("near" to status(1, 5), "far" to status(1, 7))
 
+        @JvmStatic
+        fun silences(): List<SilenceCase> = listOf(
+            SilenceCase("never led while announcements came", firstReviewMillis = 1_500, ledUntilMillis = 0, surveyedMillis = 2_500),
+            SilenceCase("led until just now", firstReviewMillis = 1_500, ledUntilMillis = 2_000, surveyedMillis = 4_500),
+            SilenceCase("looked at late", firstReviewMillis = 9_000, ledUntilMillis = 0, surveyedMillis = 9_000),
+        )
+
         @JvmStatic
         fun cases(): List<FailoverCase> = listOf(
             FailoverCase("all is well", listOf(leader, near, far), emptySet(), bothAnswer, promoted = null),
--- a/daemon/src/main/kotlin/org/buckthornhub/connection/AdmissionGate.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/AdmissionGate.kt
@@ -16,12 +16,13 @@
 internal class AdmissionGate(private val environment: SessionEnvironment) {
     /** Where the caller is led; fails with `DATABASE_UNKNOWN`, `KEY_UNKNOWN` or `CONFIGURATION_STALE`. */
     suspend fun check(caller: CallerIdentity): Result<Admission, ProxyError> {
+        val receivedMillis = environment.clock.nowMillis()
         val table = freshTable().getOrElse { return Err(it) }
         val route = table.routes[caller.database]
             ?: return Err(ProxyError(ErrorKind.DATABASE_UNKNOWN, "no route leads from database ${caller.database}"))
         val holder = table.holderOf(caller.key)
         if (holder == null && !route.isAnonymous) return Err(ProxyError(ErrorKind.KEY_UNKNOWN, "no organisation holds this key"))
-        return Ok(Admission(route, holder?.organisation ?: OrganisationId.NONE))
+        return Ok(Admission(route, holder?.organisation ?: OrganisationId.NONE, receivedMillis))
     }
 
     /** [check], and counts one operation of the organisation; also fails with `RATE_EXCEEDED`. */
--- a/daemon/src/main/kotlin/org/buckthornhub/connection/AloneStatements.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/AloneStatements.kt
@@ -15,17 +15,15 @@
         val receivedMillis = environment.clock.nowMillis()
         var excluded: Set<TargetId> = emptySet()
         var last: RunOutcome.Again? = null
+        var current = admission
         // A refusal that nothing ran may be followed by another try; the bound only guards against a loop.
         repeat(MAX_TRIES) {
-            val outcome = attempt(scope, work, id, session, admission, receivedMillis, excluded)
+            val outcome = attempt(scope, work, id, session, current, receivedMillis, excluded)
             if (outcome !is RunOutcome.Again) return (outcome as? RunOutcome.Final)?.let { preferred(it, last) } ?: outcome
             last = outcome
             excluded = excluded + setOfNotNull(outcome.tried)
-            if (environment.clock.nowMillis() - receivedMillis >=
-                admission.route.statementTimeoutMillis
-            ) {
-                return RunOutcome.Final(outcome.error)
-            }
+            current = admission.at(environment.clock.nowMillis())
+            if (current.receivedMillis - receivedMillis >= admission.route.statementTimeoutMillis) return RunOutcome.Final(outcome.error)
         }
         return RunOutcome.Final(checkNotNull(last) { "no try was made" }.error)
     }
--- a/daemon/src/main/kotlin/org/buckthornhub/connection/ReadStatements.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/ReadStatements.kt
@@ -22,8 +22,7 @@
     ): RunOutcome {
         val floor = floorOf(admission, session, receivedMillis) ?: return RunOutcome.Final(unknownFloor(admission))
         val want = wantOf(admission, floor, excluded)
-        val deadlineMillis = environment.clock.nowMillis() + admission.waitMillis
-        val lease = environment.pool.acquire(want, deadlineMillis).getOrElse { return RunOutcome.Final(it) }
+        val lease = environment.pool.acquire(want, admission.offerByMillis).getOrElse { return RunOutcome.Final(it) }
         val target = lease.instance.target
         val reply = lease.work(work, id, session, floor, admission.attemptMillis).getOrElse { failure ->
             lease.giveBack()
@@ -42,9 +41,9 @@
         return when (val guarantee = admission.route.guarantee) {
             is ReadGuarantee.Latest -> null
             is ReadGuarantee.BoundedAge ->
-                environment.horizons.awaitFloor(group, admission.waitMillis) { it.floorAt(atMillis, guarantee.maxAgeMillis) }
+                environment.horizons.awaitFloor(group, admission.offerByMillis) { it.floorAt(atMillis, guarantee.maxAgeMillis) }
             is ReadGuarantee.OwnWrites ->
-                environment.horizons.awaitFloor(group, admission.waitMillis) {
+                environment.horizons.awaitFloor(group, admission.offerByMillis) {
                     it.floorAt(atMillis, guarantee.maxAgeMillis, session.commits[group])
                 }
         }
--- a/daemon/src/main/kotlin/org/buckthornhub/connection/SessionEnvironment.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/SessionEnvironment.kt
@@ -13,6 +13,7 @@
  * What all sessions of a daemon share.
  *
  * @property leaving completes when sessions that have nothing open have to end
+ * @property isCutOff whether this daemon reaches neither the control quorum nor most leaders
  */
 internal class SessionEnvironment(
     val settings: SessionSettings,
@@ -21,6 +22,7 @@
     val horizons: HorizonTask,
     val meter: MeterTask,
     val leaving: Job,
+    val isCutOff: () -> Boolean,
     val decisions: DecisionLog,
     val clock: Clock,
 )
--- a/daemon/src/main/kotlin/org/buckthornhub/connection/SessionTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/SessionTask.kt
@@ -121,8 +121,8 @@
                 if (step.work.access == Access.WRITE) noteCommit(admission, outcome.reply.position)
                 complete(outcome.reply, outcome.lease)
             }
-            is RunOutcome.Final -> refuse(outcome.error, session)
-            is RunOutcome.Again -> refuse(outcome.error, session)
+            is RunOutcome.Final -> return turnAway(outcome.error)
+            is RunOutcome.Again -> return turnAway(outcome.error)
         }
         return true
     }
@@ -203,7 +203,7 @@
     // A caller can do nothing more on this connection if its database or key is gone; another daemon may be better connected.
     private fun turnAway(error: ProxyError): Boolean {
         refuse(error, session)
-        return error.kind !in ENDING
+        return error.kind !in ENDING && !environment.isCutOff()
     }
 
     private fun end(error: ProxyError): Boolean {
--- a/daemon/src/main/kotlin/org/buckthornhub/connection/TransactionRun.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/TransactionRun.kt
@@ -89,7 +89,7 @@
         var excluded: Set<TargetId> = emptySet()
         var last: ProxyError? = null
         repeat(MAX_TRIES) {
-            val outcome = begin(session, open, excluded)
+            val outcome = begin(session, open, admission.at(environment.clock.nowMillis()), excluded)
             val error = outcome.getOrElse { it }
             if (error !is RunOutcome.Again) return outcome.fold(last)
             last = error.error
@@ -107,13 +107,14 @@
     private suspend fun begin(
         session: SessionState,
         open: TransactionState.Open,
+        admission: Admission,
         excluded: Set<TargetId>,
     ): Result<TargetLease, RunOutcome> {
         val isReplicaEnough = open.readOnly && admission.route.guarantee !is ReadGuarantee.Latest
         val floor = if (isReplicaEnough) reads.floorOf(admission, session, open.beganMillis) else null
         if (isReplicaEnough && floor == null) return Err(RunOutcome.Final(reads.unknownFloor(admission)))
         val want = if (floor == null) leader.wantOf(admission) else reads.wantOf(admission, floor, excluded)
-        val lease = environment.pool.acquire(want, leader.deadline(admission)).getOrElse { return Err(RunOutcome.Final(it)) }
+        val lease = environment.pool.acquire(want, admission.offerByMillis).getOrElse { return Err(RunOutcome.Final(it)) }
         val target = lease.instance.target
         val askedMillis = environment.clock.nowMillis()
         val reply = lease.run(TargetStatement.Begin(readOnly = floor != null, floor), admission.attemptMillis).getOrElse {
--- a/daemon/src/main/kotlin/org/buckthornhub/daemon/SessionProxyAssembly.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/daemon/SessionProxyAssembly.kt
@@ -56,6 +56,7 @@
             horizons,
             meter,
             leaving,
+            ::isCutOff,
             measured(decisions),
             clock,
         )
@@ -67,8 +68,7 @@
     /** True while callers may be sent here. */
     public fun isReady(): Boolean {
         val view = report.view.value
-        val isCutOff = !view.isFresh(clock, CUT_OFF_MILLIS) && horizons.areMostSilent()
-        return stopping.isActive && view.table != null && view.isFresh(clock, settings.keyFreshMillis) && !isCutOff
+        return stopping.isActive && view.table != null && view.isFresh(clock, settings.keyFreshMillis) && !isCutOff()
     }
 
     public fun start(scope: CoroutineScope) {
@@ -97,6 +97,8 @@
         delay((settings.graceMillis - NOTICE_MILLIS - EXIT_MILLIS).coerceAtLeast(0))
     }
 
+    private fun isCutOff(): Boolean = !report.view.value.isFresh(clock, CUT_OFF_MILLIS) && horizons.areMostSilent()
+
     private fun measured(decisions: DecisionLog): DecisionLog {
         SessionMetrics.gauge(registry, "buckthornhub_route_table_version", "Version of the route table in force.") {
             report.view.value.table?.version?.toDouble() ?: 0.0
--- a/daemon/src/main/kotlin/org/buckthornhub/horizon/HorizonTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/horizon/HorizonTask.kt
@@ -51,11 +51,11 @@
         if (position != null) offer(HorizonMessage.Learned(group, HorizonSample(askedMillis, position)))
     }
 
-    /** The position for [floorOf], waiting up to [waitMillis] for an answer of the leader if there is none yet. */
-    suspend fun awaitFloor(group: GroupId, waitMillis: Long, floorOf: (CommitHorizon) -> Position?): Position? {
+    /** The position for [floorOf], waiting for an answer of the leader until [deadlineMillis] if there is none yet. */
+    suspend fun awaitFloor(group: GroupId, deadlineMillis: Long, floorOf: (CommitHorizon) -> Position?): Position? {
         published.value[group]?.let { floorOf(it.horizon) }?.let { return it }
         offer(HorizonMessage.Needed(group))
-        return withTimeoutOrNull(waitMillis) {
+        return withTimeoutOrNull(deadlineMillis - clock.nowMillis()) {
             published.first { state -> state[group]?.let { floorOf(it.horizon) } != null }[group]?.let { floorOf(it.horizon) }
         }
     }
--- a/daemon/src/main/kotlin/org/buckthornhub/instancepool/PoolTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/instancepool/PoolTask.kt
@@ -10,6 +10,7 @@
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import org.buckthornhub.clock.Clock
 import org.buckthornhub.connection.TargetLink
@@ -62,10 +63,7 @@
 
     override suspend fun handle(message: PoolCommand): Unit = when (message) {
         is PoolCommand.Decide -> decide(message.message)
-        is PoolCommand.Acquire -> {
-            asking = asking.put(++nextToken, message)
-            decide(PoolMessage.Acquire(WaitingWant(nextToken, message.want, message.deadlineMillis)))
-        }
+        is PoolCommand.Acquire -> acquire(message)
         is PoolCommand.LinkOpened -> {
             open = open.put(message.connection, message.link)
             decide(message.message)
@@ -74,6 +72,19 @@
 
     override fun onEnd(): Unit = open.values.forEach { it.close() }
 
+    private fun acquire(message: PoolCommand.Acquire) {
+        asking = asking.put(++nextToken, message)
+        decide(PoolMessage.Acquire(WaitingWant(nextToken, message.want, message.deadlineMillis)))
+        if (nextToken in asking) lookAgainAt(message.deadlineMillis)
+    }
+
+    private fun lookAgainAt(millis: Long) {
+        scope.launch {
+            delay(millis - clock.nowMillis())
+            offer(PoolCommand.Decide(PoolMessage.Tick))
+        }
+    }
+
     private fun decide(message: PoolMessage) {
         if (message is PoolMessage.Returned && message.state == null || message is PoolMessage.Closed) forget(message)
         val decision = decider.decide(state, message, clock.nowMillis())
@@ -133,8 +144,8 @@
     }
 
     private companion object {
-        /** How exactly deadlines of waiting sessions are kept, in ms. */
-        const val TICK_MILLIS = 20L
+        /** How soon an instance is tried again after the pause that follows a failed connect; in ms. */
+        const val TICK_MILLIS = 50L
 
         /** A connection takes 12 ms and a slot; a dark instance must not hold a session up for long. In ms. */
         const val CONNECT_TIMEOUT_MILLIS = 500L
--- a/daemon/src/test/kotlin/org/buckthornhub/connection/FakeFleet.kt
+++ b/daemon/src/test/kotlin/org/buckthornhub/connection/FakeFleet.kt
@@ -42,6 +42,9 @@
         override fun wallMillis(): Long = nowMillis() + suspendedMillis
     }
     private var suspendedMillis = 0L
+
+    /** Whether the daemon takes itself to be cut off from control VMs and leaders. */
+    var isCutOff = false
     private val pool = PoolTask(
         PoolSettings(ZoneId("a")),
         { instance, _, _, _ -> Ok(FakeLink(instances.first { it.record.target == instance.target })) },
@@ -51,7 +54,7 @@
     private val meter = MeterTask({ _, _ -> null }, clock)
     private val view = MutableStateFlow(ProxyView(table, proof(), directory = directory()))
     private val environment =
-        SessionEnvironment(SessionSettings(), view, pool, horizons, meter, Job(), DecisionLog.NONE, clock)
+        SessionEnvironment(SessionSettings(), view, pool, horizons, meter, Job(), { isCutOff }, DecisionLog.NONE, clock)
 
     fun start() {
         listOf(pool, horizons, meter).forEach { it.start(scope.backgroundScope) }
@@ -88,13 +91,21 @@
 
     private fun directory() = instances.fold(InstanceDirectory()) { directory, instance -> directory.with(instance.record) }
 
-    private companion object {
-        const val START_MILLIS = 10_000L
+    companion object {
+        /** Of every route, in ms. */
+        const val OBJECTIVE_MILLIS = 400L
+        private const val START_MILLIS = 10_000L
 
-        private fun route(name: String, guarantee: ReadGuarantee) =
-            DatabaseRoute(name, DatabaseName(name), GroupId("g"), guarantee, statementTimeoutMillis = 800, objectiveMillis = 400)
+        private fun route(name: String, guarantee: ReadGuarantee) = DatabaseRoute(
+            name,
+            DatabaseName(name),
+            GroupId("g"),
+            guarantee,
+            statementTimeoutMillis = 800,
+            objectiveMillis = OBJECTIVE_MILLIS,
+        )
 
-        val table = RouteTable(
+        private val table = RouteTable(
             version = 1,
             routes = listOf(
                 route("latest", ReadGuarantee.Latest),
--- a/daemon/src/test/kotlin/org/buckthornhub/connection/SessionTaskTest.kt
+++ b/daemon/src/test/kotlin/org/buckthornhub/connection/SessionTaskTest.kt
@@ -1,6 +1,7 @@
 package org.buckthornhub.connection
 
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.test.currentTime
 import kotlinx.coroutines.test.runTest
 import org.buckthornhub.error.ErrorKind
 import org.buckthornhub.routetable.DatabaseName
@@ -94,6 +95,33 @@
         assertEquals(0, leader.commits)
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = ["latest", "bounded", "own"])
+    fun `a caller for whom there is no target hears so before a quarter of the objective is over`(database: String) = runTest {
+        val fleet = FakeFleet(this, listOf(FakeInstance("replica", TargetRole.REPLICA, applied = 7))).also { it.start() }
+        val caller = fleet.caller()
+        caller.open(database, "key")
+        for (statements in listOf(listOf(read), listOf(write), listOf(begin, read))) {
+            val askedMillis = currentTime
+            val reply = statements.map { caller.ask(it) }.last()
+            assertEquals(ErrorKind.NO_PRIMARY, assertIs<ClientReply.Failed>(reply).error.kind)
+            assertTrue(currentTime - askedMillis < FakeFleet.OBJECTIVE_MILLIS / 4, "refused after ${currentTime - askedMillis} ms")
+            caller.ask(ClientStatement.RollBack)
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = [false, true])
+    fun `a caller that was refused is sent to another daemon if this one is cut off`(isCutOff: Boolean) = runTest {
+        val fleet = FakeFleet(this, listOf(FakeInstance("replica", TargetRole.REPLICA, applied = 7))).also { it.start() }
+        fleet.isCutOff = isCutOff
+        val caller = fleet.caller()
+        caller.open("latest", "key")
+        assertEquals(ErrorKind.NO_PRIMARY, assertIs<ClientReply.Failed>(caller.ask(read)).error.kind)
+        delay(10)
+        assertEquals(isCutOff, caller.isClosed)
+    }
+
     @Test
     fun `a connection that says nothing is not kept`() = runTest {
         val fleet = FakeFleet(this, listOf(FakeInstance("leader", TargetRole.PRIMARY, applied = 7))).also { it.start() }
