Lend a connection to its own organisation before it makes room for another; give every connection to somebody

A connection that came back was closed for the first in line even if the second could have used it, and 23 connections over 8 daemons left 4 unused at each instance.

Ruled out: more waiting (refusals are late already).

Change: open connections are lent first; room is made only after 10 ms if a connection of the same organisation is in use; what does not divide goes to the first daemons.

--- a/core/src/main/kotlin/org/buckthornhub/coordination/ProxyNews.kt
+++ b/core/src/main/kotlin/org/buckthornhub/coordination/ProxyNews.kt
@@ -19,6 +19,7 @@
  * @property ended births of the newest lives that said goodbye
  * @property shares part of each organisation's limit that the daemon may use; null if the leader is too new to know
  * @property proxies daemons that serve sessions
+ * @property rank of the daemon among them, from 0 on
  */
 @Serializable
 public data class ProxyNews(
@@ -34,4 +35,5 @@
     val ended: Map<TargetId, Long> = emptyMap(),
     val shares: Map<OrganisationId, Double>? = null,
     val proxies: Int = 1,
+    val rank: Int = 0,
 )
--- a/core/src/main/kotlin/org/buckthornhub/instancepool/PoolDecider.kt
+++ b/core/src/main/kotlin/org/buckthornhub/instancepool/PoolDecider.kt
@@ -97,36 +97,48 @@
         return Decision(state.copy(waiting = state.waiting.removeAll(due)), refusals.toPersistentList())
     }
 
-    private fun serve(state: PoolState, nowMillis: Long): Decision<PoolState, PoolEffect> {
-        val order = state.waiting.sortedBy { it.want.priority }
+    private fun serve(state: PoolState, nowMillis: Long): Decision<PoolState, PoolEffect> =
+        lendOpen(state, nowMillis).then { openMore(it, nowMillis) }
+
+    // Before a connection is closed to make room, it goes to whoever can use it as it is.
+    private fun lendOpen(state: PoolState, nowMillis: Long): Decision<PoolState, PoolEffect> =
+        inOrder(state).fold(Decision(state)) { decision, waiting ->
+            val instance = cheapest(decision.state, waiting, nowMillis)
+            val warm = instance?.idle?.lastOrNull {
+                waiting.want.organisation == null || it.state.organisation == waiting.want.organisation
+            }
+            if (instance == null || warm == null) decision else decision.then { lend(it, instance, warm, waiting) }
+        }
+
+    private fun openMore(state: PoolState, nowMillis: Long): Decision<PoolState, PoolEffect> {
         val start = Decision<PoolState, PoolEffect>(state)
         // A connection on its way is meant for somebody who waits already: none is opened twice for the same want.
         val coming: List<Pair<GroupId, OrganisationId>> =
             state.instances.values.flatMap { instance -> instance.opening.values.map { instance.record.group to it } }
-        return order.fold(start to coming) { (decision, open), waiting ->
-            val key = waiting.want.group to (waiting.want.organisation ?: OrganisationId.NONE)
-            val isComing = key in open
-            val next = place(decision.state, waiting, mayOpen = !isComing, nowMillis)
-            val isLent = next != null && next.effects.any { it is PoolEffect.Lend }
-            val left = if (isComing && !isLent) open - key else open
-            (if (next == null) decision else decision.then { next }) to left
+        return inOrder(state).fold(start to coming) { (decision, open), waiting ->
+            val key = waiting.want.group to waiting.organisation
+            if (key in open) return@fold decision to open - key
+            val instance = cheapest(decision.state, waiting, nowMillis)
+            val isWorthIt = instance != null && mayOpen(decision.state, instance, waiting, nowMillis)
+            (if (instance == null || !isWorthIt) decision else decision.then { open(it, instance, waiting.organisation) }) to open
         }.first
     }
 
-    private fun place(state: PoolState, waiting: WaitingWant, mayOpen: Boolean, nowMillis: Long): Decision<PoolState, PoolEffect>? {
+    private fun inOrder(state: PoolState): List<WaitingWant> = state.waiting.sortedBy { it.want.priority }
+
+    private fun cheapest(state: PoolState, waiting: WaitingWant, nowMillis: Long): PoolInstance? {
         val limit = state.limitOf(waiting.want.group)
-        val costs = state.instances.values.mapNotNull { instance ->
-            cost.of(instance, waiting.want, limit, nowMillis)?.let { instance to it }
-        }
-        val instance = costs.minByOrNull { it.second }?.first ?: return null
-        val warm = instance.idle.lastOrNull { waiting.want.organisation == null || it.state.organisation == waiting.want.organisation }
-        return when {
-            warm != null -> lend(state, instance, warm, waiting)
-            mayOpen -> open(state, instance, waiting.want.organisation ?: OrganisationId.NONE, limit)
-            else -> null
-        }
+        return state.instances.values
+            .mapNotNull { instance -> cost.of(instance, waiting.want, limit, nowMillis)?.let { instance to it } }
+            .minByOrNull { it.second }?.first
     }
 
+    // A connection of the same organisation that is in use comes back about as soon as a new one would be open.
+    private fun mayOpen(state: PoolState, instance: PoolInstance, waiting: WaitingWant, nowMillis: Long): Boolean =
+        instance.size < state.limitOf(instance.record.group) ||
+            waiting.organisation !in instance.lent.values ||
+            nowMillis - waiting.sinceMillis >= PATIENCE_MILLIS
+
     private fun lend(
         state: PoolState,
         instance: PoolInstance,
@@ -135,13 +147,15 @@
     ): Decision<PoolState, PoolEffect> {
         val next = state
             .copy(waiting = state.waiting.remove(waiting))
-            .update(instance.record.target) { copy(idle = idle.remove(connection), lent = lent.add(connection.id)) }
+            .update(instance.record.target) {
+                copy(idle = idle.remove(connection), lent = lent.put(connection.id, connection.state.organisation))
+            }
         return Decision(next, persistentListOf(PoolEffect.Lend(waiting.token, connection, instance.record)))
     }
 
-    private fun open(state: PoolState, instance: PoolInstance, organisation: OrganisationId, limit: Int): Decision<PoolState, PoolEffect> {
+    private fun open(state: PoolState, instance: PoolInstance, organisation: OrganisationId): Decision<PoolState, PoolEffect> {
         val target = instance.record.target
-        val evicted = if (instance.size >= limit) instance.idle.firstOrNull() else null
+        val evicted = if (instance.size >= state.limitOf(instance.record.group)) instance.idle.firstOrNull() else null
         val room = if (evicted == null) Decision(state) else close(state.update(target) { copy(idle = idle.remove(evicted)) }, evicted.id)
         return room.then {
             val id = ConnectionId(it.nextConnection)
@@ -159,11 +173,16 @@
         return if (isNewer) copy(applied = position, appliedAtMillis = nowMillis) else copy(appliedAtMillis = nowMillis)
     }
 
-    private companion object {
+    private val WaitingWant.organisation: OrganisationId get() = want.organisation ?: OrganisationId.NONE
+
+    internal companion object {
+        /** Less than a new connection takes: 12 ms at the instance, for which it serves nobody else, and two round trips. */
+        const val PATIENCE_MILLIS = 10L
+
         /** 100 ms doubled four times is the longest pause. */
-        const val MAX_DOUBLINGS = 4
+        private const val MAX_DOUBLINGS = 4
 
         /** An instance that gave any answer within this time is not silent; a few statements take as long. In ms. */
-        const val SILENT_MILLIS = 300L
+        private const val SILENT_MILLIS = 300L
     }
 }
--- a/core/src/main/kotlin/org/buckthornhub/instancepool/PoolInstance.kt
+++ b/core/src/main/kotlin/org/buckthornhub/instancepool/PoolInstance.kt
@@ -2,10 +2,8 @@
 
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
-import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
-import kotlinx.collections.immutable.persistentSetOf
 import org.buckthornhub.directory.InstanceRecord
 import org.buckthornhub.group.Position
 import org.buckthornhub.organisation.OrganisationId
@@ -14,7 +12,7 @@
  * The connections to one instance.
  *
  * @property idle least recently used first
- * @property lent connections in use by sessions
+ * @property lent connections in use by sessions, with the organisation of each
  * @property opening connections on their way, with the organisation that each is for
  * @property failures connects that failed in a row
  * @property retryAtMillis no connect before it
@@ -25,7 +23,7 @@
 public data class PoolInstance(
     val record: InstanceRecord,
     val idle: PersistentList<PoolConnection> = persistentListOf(),
-    val lent: PersistentSet<ConnectionId> = persistentSetOf(),
+    val lent: PersistentMap<ConnectionId, OrganisationId> = persistentMapOf(),
     val opening: PersistentMap<ConnectionId, OrganisationId> = persistentMapOf(),
     val failures: Int = 0,
     val retryAtMillis: Long = 0,
--- a/core/src/main/kotlin/org/buckthornhub/quota/DemandBoard.kt
+++ b/core/src/main/kotlin/org/buckthornhub/quota/DemandBoard.kt
@@ -24,6 +24,9 @@
     public fun sharesOf(vm: VmId, organisations: Collection<OrganisationId>): Map<OrganisationId, Double> =
         organisations.associateWith { if (vm in reports) partOf(vm, it) else 1.0 / (reports.size + 1) }
 
+    /** The place of [vm] among the daemons, from 0 on. */
+    public fun rankOf(vm: VmId): Int = reports.keys.count { it.value < vm.value }
+
     private fun partOf(vm: VmId, organisation: OrganisationId): Double {
         val total = reports.values.sumOf { it.report.perSecond[organisation] ?: 0.0 }
         if (total <= 0) return 1.0 / reports.size
--- a/core/src/test/kotlin/org/buckthornhub/instancepool/PoolDeciderTest.kt
+++ b/core/src/test/kotlin/org/buckthornhub/instancepool/PoolDeciderTest.kt
@@ -2,7 +2,6 @@
 
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
-import kotlinx.collections.immutable.persistentSetOf
 import org.buckthornhub.connection.TargetConnectionState
 import org.buckthornhub.directory.InstanceRecord
 import org.buckthornhub.fleet.ZoneId
@@ -30,7 +29,7 @@
     @MethodSource("placements")
     fun `a connection is opened where the statement is served soonest`(case: PlacementCase) {
         val known = decider.decide(PoolState(limits = persistentMapOf(group to 2)), PoolMessage.Directory(case.records), 0).state
-        val asked = PoolMessage.Acquire(WaitingWant(1, case.want, deadlineMillis = 100))
+        val asked = PoolMessage.Acquire(WaitingWant(1, case.want, sinceMillis = 0, deadlineMillis = 100))
         val opened = decider.decide(case.prepare(known), asked, 0).effects.filterIsInstance<PoolEffect.Open>().singleOrNull()
         assertEquals(case.opened, opened?.instance?.target?.value)
     }
@@ -39,7 +38,8 @@
     @CsvSource("100, 1", "400, 2")
     fun `one unanswered statement ends the other connections only if nothing was heard meanwhile`(silentMillis: Long, closed: Int) {
         val idle = PoolConnection(ConnectionId(1), leader.target, TargetConnectionState(organisation))
-        val instance = PoolInstance(leader, persistentListOf(idle), lent = persistentSetOf(ConnectionId(2)), appliedAtMillis = 1_000)
+        val instance =
+            PoolInstance(leader, persistentListOf(idle), lent = persistentMapOf(ConnectionId(2) to organisation), appliedAtMillis = 1_000)
         val state = PoolState(persistentMapOf(leader.target to instance), persistentMapOf(group to 2))
         val silent = PoolMessage.Returned(ConnectionId(2), leader.target, null, null, isSilent = true)
         val decision = decider.decide(state, silent, 1_000 + silentMillis)
@@ -50,7 +50,7 @@
     @Test
     fun `who waits too long is told so, and whether anybody leads`() {
         val want = ConnectionWant(group, organisation, ConnectionNeed.Leader)
-        val waiting = decider.decide(PoolState(), PoolMessage.Acquire(WaitingWant(1, want, deadlineMillis = 100)), 0).state
+        val waiting = decider.decide(PoolState(), PoolMessage.Acquire(WaitingWant(1, want, sinceMillis = 0, deadlineMillis = 100)), 0).state
         assertEquals(emptyList(), decider.decide(waiting, PoolMessage.Tick, 99).effects.toList())
         val late = decider.decide(waiting, PoolMessage.Tick, 100)
         assertEquals(listOf(PoolEffect.Refuse(1, isLeaderless = true)), late.effects.toList())
@@ -70,6 +70,30 @@
         assertEquals(OrganisationId("other"), assertIs<PoolEffect.Open>(other.last()).organisation)
     }
 
+    @Test
+    fun `a connection that comes back goes to its own organisation before it makes room for another`() {
+        val other = OrganisationId("other")
+        val lent = PoolInstance(leader, lent = persistentMapOf(ConnectionId(1) to organisation))
+        val busy = PoolState(persistentMapOf(leader.target to lent), persistentMapOf(group to 1), nextConnection = 2)
+        val waiting = acquire(acquire(busy, 1, other).first, 2, organisation).first
+        val back = PoolMessage.Returned(ConnectionId(1), leader.target, TargetConnectionState(organisation), null)
+        val decision = decider.decide(waiting, back, 1)
+        assertEquals(2, assertIs<PoolEffect.Lend>(decision.effects.single()).token)
+        val again = decider.decide(decision.state, back, 2).effects
+        assertEquals(other, assertIs<PoolEffect.Open>(again.last()).organisation)
+    }
+
+    @ParameterizedTest
+    @CsvSource("0, false", "9, false", "10, true")
+    fun `room is made only for who has waited while a connection of the same organisation was in use`(waited: Long, isOpened: Boolean) {
+        val idle = PoolConnection(ConnectionId(1), leader.target, TargetConnectionState(OrganisationId("other")))
+        val instance = PoolInstance(leader, persistentListOf(idle), lent = persistentMapOf(ConnectionId(2) to organisation))
+        val state = PoolState(persistentMapOf(leader.target to instance), persistentMapOf(group to 2), nextConnection = 3)
+        val waiting = acquire(state, 1, organisation).first
+        val effects = decider.decide(waiting, PoolMessage.Tick, waited).effects
+        assertEquals(isOpened, effects.any { it is PoolEffect.Open })
+    }
+
     @ParameterizedTest
     @ValueSource(ints = [1, 2, 3, 4, 5, 6, 7, 8, 9, 10])
     fun `no limit is passed, no connection is lent twice, and every want gets one answer`(seed: Int) {
@@ -99,7 +123,7 @@
         }
         for (now in 0L..4_000L step 4) {
             when (random.nextInt(6)) {
-                0, 1 -> take(PoolMessage.Acquire(WaitingWant(++asked, randomWant(random), now + random.nextLong(1, 80))), now)
+                0, 1 -> take(PoolMessage.Acquire(WaitingWant(++asked, randomWant(random), now, now + random.nextLong(1, 80))), now)
                 2 -> opening.randomOrNull(random)?.let { open ->
                     opening = opening - open
                     val isOpened = random.nextInt(5) > 0
@@ -140,7 +164,7 @@
 
     private fun acquire(state: PoolState, token: Long, organisation: OrganisationId): Pair<PoolState, List<PoolEffect>> {
         val want = ConnectionWant(group, organisation, ConnectionNeed.Leader)
-        val decision = decider.decide(state, PoolMessage.Acquire(WaitingWant(token, want, deadlineMillis = 100)), 0)
+        val decision = decider.decide(state, PoolMessage.Acquire(WaitingWant(token, want, sinceMillis = 0, deadlineMillis = 100)), 0)
         return decision.state to decision.effects
     }
 
--- a/daemon/src/main/kotlin/org/buckthornhub/coordination/ProxyView.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/coordination/ProxyView.kt
@@ -15,6 +15,8 @@
  *
  * @property proof when a majority still stood behind [table]; null if never
  * @property controlVms where to ask, the likely leader first
+ * @property proxies daemons that serve sessions
+ * @property rank of this one among them, from 0 on
  * @property directoryRevision of the leader of [controlTerm]
  */
 internal data class ProxyView(
@@ -26,6 +28,7 @@
     val directory: InstanceDirectory = InstanceDirectory(),
     val shares: Map<OrganisationId, Double> = emptyMap(),
     val proxies: Int = 1,
+    val rank: Int = 0,
 ) {
     /** True while no key can have been taken away for longer than [limitMillis] without this daemon knowing. */
     fun isFresh(clock: Clock, limitMillis: Long): Boolean = ageMillis(clock)?.let { it <= limitMillis } ?: false
--- a/daemon/src/main/kotlin/org/buckthornhub/coordination/ProxyViews.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/coordination/ProxyViews.kt
@@ -21,6 +21,7 @@
             directory = if (instances != null) view.directory.merged(instances, news.ended) else view.directory,
             shares = news.shares ?: view.shares,
             proxies = if (news.shares != null) news.proxies else view.proxies,
+            rank = if (news.shares != null) news.rank else view.rank,
         )
     }
 
--- a/daemon/src/main/kotlin/org/buckthornhub/coordination/ReportRoutes.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/coordination/ReportRoutes.kt
@@ -68,6 +68,7 @@
             ended = if (leadership.isLeader) state.directory.ended else emptyMap(),
             shares = if (isSettled && table != null) state.demand.sharesOf(report.vm, table.organisations.keys) else null,
             proxies = maxOf(state.demand.reports.size, 1),
+            rank = state.demand.rankOf(report.vm),
         )
     }
 
--- a/daemon/src/main/kotlin/org/buckthornhub/daemon/SessionProxyAssembly.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/daemon/SessionProxyAssembly.kt
@@ -24,6 +24,7 @@
 import org.buckthornhub.horizon.HorizonTask
 import org.buckthornhub.http.HttpLink
 import org.buckthornhub.http.Route
+import org.buckthornhub.instancepool.ConnectionShare
 import org.buckthornhub.instancepool.PoolCommand
 import org.buckthornhub.instancepool.PoolMessage
 import org.buckthornhub.instancepool.PoolSettings
@@ -75,7 +76,9 @@
         this.scope = scope
         listOf(pool, horizons, meter, report).forEach { it.start(scope) }
         introduce(settings.introducers)
-        scope.launch { report.view.distinctUntilChangedBy { listOf(it.directory, it.table?.version, it.proxies) }.collect { follow(it) } }
+        scope.launch {
+            report.view.distinctUntilChangedBy { listOf(it.directory, it.table?.version, it.proxies, it.rank) }.collect { follow(it) }
+        }
     }
 
     /** Names other control VMs to ask first. */
@@ -118,7 +121,7 @@
     }
 
     private fun limits(view: ProxyView): Map<GroupId, Int> = view.table?.groups.orEmpty().mapValues { (_, limits) ->
-        ((limits.maxConnections - RESERVED_CONNECTIONS) / maxOf(view.proxies, FEWEST_PROXIES)).coerceAtLeast(1)
+        ConnectionShare.of(limits.maxConnections, view.rank, view.proxies)
     }
 
     private companion object {
@@ -132,11 +135,5 @@
 
         /** Neither the control quorum nor most leaders answer: callers are better off in another availability zone. In ms. */
         const val CUT_OFF_MILLIS = 800L
-
-        /** Connections of an instance that are left to control VMs and to daemons that just started. */
-        const val RESERVED_CONNECTIONS = 3
-
-        /** A fleet that has not yet heard of all its daemons is taken to be at least this large. */
-        const val FEWEST_PROXIES = 7
     }
 }
--- a/daemon/src/main/kotlin/org/buckthornhub/instancepool/PoolTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/instancepool/PoolTask.kt
@@ -74,8 +74,12 @@
 
     private fun acquire(message: PoolCommand.Acquire) {
         asking = asking.put(++nextToken, message)
-        decide(PoolMessage.Acquire(WaitingWant(nextToken, message.want, message.deadlineMillis)))
-        if (nextToken in asking) lookAgainAt(message.deadlineMillis)
+        val waiting = WaitingWant(nextToken, message.want, message.askedMillis, message.deadlineMillis)
+        decide(PoolMessage.Acquire(waiting))
+        if (nextToken in asking) {
+            lookAgainAt(waiting.sinceMillis + PoolDecider.PATIENCE_MILLIS)
+            lookAgainAt(waiting.deadlineMillis)
+        }
     }
 
     private fun lookAgainAt(millis: Long) {
