--- a/core/src/main/kotlin/org/buckthornhub/instancepool/PoolDecider.kt
+++ b/core/src/main/kotlin/org/buckthornhub/instancepool/PoolDecider.kt
@@ -175,9 +175,9 @@
 
     private val WaitingWant.organisation: OrganisationId get() = want.organisation ?: OrganisationId.NONE
 
-    internal companion object {
+    public companion object {
         /** Less than a new connection takes: 12 ms at the instance, for which it serves nobody else, and two round trips. */
-        const val PATIENCE_MILLIS = 10L
+        public const val PATIENCE_MILLIS: Long = 10
 
         /** 100 ms doubled four times is the longest pause. */
         private const val MAX_DOUBLINGS = 4
