Count what the log leaves out, by event and at its queue; keep failures before routine lines

Change: the budget counts by event (decisions-left-out), failures are written as warnings, so that a queue that fills up gives up routine lines first, and the queue counts every line that it drops (buckthornhub_log_lines_dropped_total). A test sticks the output.

--- a/daemon/src/main/kotlin/org/buckthornhub/daemon/ControlVmAssembly.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/daemon/ControlVmAssembly.kt
@@ -15,6 +15,7 @@
 import org.buckthornhub.coordination.ReportRoutes
 import org.buckthornhub.coordination.ReserveRoutes
 import org.buckthornhub.coordination.ReserveTask
+import org.buckthornhub.decisionlog.BoundedQueueAppender
 import org.buckthornhub.decisionlog.SessionMetrics
 import org.buckthornhub.failover.InstanceSurvey
 import org.buckthornhub.failover.PromotionOrders
@@ -68,6 +69,7 @@
         )
 
     init {
+        BoundedQueueAppender.show(registry)
         SessionMetrics.gauge(registry, "buckthornhub_control_leads", "1 if this VM leads the control quorum.") {
             if (control.leadership.current().isLeader) 1.0 else 0.0
         }
--- a/daemon/src/main/kotlin/org/buckthornhub/daemon/SessionProxyAssembly.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/daemon/SessionProxyAssembly.kt
@@ -15,6 +15,7 @@
 import org.buckthornhub.coordination.ProxyView
 import org.buckthornhub.coordination.ReportMessage
 import org.buckthornhub.coordination.ReportTask
+import org.buckthornhub.decisionlog.BoundedQueueAppender
 import org.buckthornhub.decisionlog.CompositeDecisionLog
 import org.buckthornhub.decisionlog.DecisionLog
 import org.buckthornhub.decisionlog.SessionMetrics
@@ -109,6 +110,7 @@
         SessionMetrics.gauge(registry, "buckthornhub_route_table_age_seconds", "Time since a majority stood behind the route table.") {
             report.view.value.ageMillis(clock)?.let { it / MILLIS_PER_SECOND } ?: Double.NaN
         }
+        BoundedQueueAppender.show(registry)
         return CompositeDecisionLog(listOf(SessionMetrics(registry), decisions))
     }
 
--- a/daemon/src/main/kotlin/org/buckthornhub/decisionlog/BudgetedDecisionLog.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/decisionlog/BudgetedDecisionLog.kt
@@ -1,7 +1,8 @@
 package org.buckthornhub.decisionlog
 
-import io.github.oshai.kotlinlogging.KLogger
 import io.github.oshai.kotlinlogging.KotlinLogging
+import io.github.oshai.kotlinlogging.Level
+import kotlinx.collections.immutable.persistentMapOf
 import org.buckthornhub.clock.Clock
 
 /** Writes one structured line for each decision, as far as the budget of the second allows. Used on one thread. */
@@ -12,22 +13,28 @@
     private var budget = LogBudget(linesPerSecond)
 
     override fun record(event: DecisionEvent) {
-        val (next, isWritten) = budget.after(event.isRoutine, clock.nowMillis())
-        val dropped = next.dropped
-        budget = if (isWritten) next.copy(dropped = 0) else next
+        val (next, isWritten) = budget.after(event, clock.nowMillis())
+        budget = next
         if (!isWritten) return
-        if (dropped > 0) logger.warn { "$dropped decisions were left out, over the budget of lines a second" }
-        write(logger, event)
+        if (next.dropped.isNotEmpty()) {
+            write(Level.WARN, OVER_BUDGET, next.dropped)
+            budget = next.copy(dropped = persistentMapOf())
+        }
+        // A queue that fills up gives up lines of level INFO first.
+        write(if (event.isRoutine) Level.INFO else Level.WARN, event.name, event.fields)
     }
 
-    private fun write(logger: KLogger, event: DecisionEvent): Unit = logger.atInfo {
-        message = event.name
-        payload = event.fields.filterValues { it != null }.mapValues { it.value as Any }
+    private fun write(level: Level, name: String, fields: Map<String, Any?>): Unit = logger.at(level) {
+        message = name
+        payload = fields.filterValues { it != null }.mapValues { it.value as Any }
     }
 
     public companion object {
         /** A line costs some 20 microseconds: a hundred a second take less than a hundredth of a core. */
         public const val DEFAULT_LINES_PER_SECOND: Int = 100
+
+        /** Says how many lines of each event were left out since the last line. */
+        internal const val OVER_BUDGET = "decisions-left-out"
         private val logger = KotlinLogging.logger("decisions")
     }
 }
--- a/daemon/src/test/kotlin/org/buckthornhub/decisionlog/LogBudgetTest.kt
+++ b/daemon/src/test/kotlin/org/buckthornhub/decisionlog/LogBudgetTest.kt
@@ -19,7 +19,7 @@
         var budget = LogBudget(linesPerSecond = 10)
         var written = 0
         fun line(isRoutine: Boolean, nowMillis: Long) {
-            val (next, isWritten) = budget.after(isRoutine, nowMillis)
+            val (next, isWritten) = budget.after(if (isRoutine) served else failed, nowMillis)
             budget = next
             if (isWritten) written += 1
         }
@@ -27,7 +27,7 @@
         assertEquals(5, written)
         repeat(20) { line(isRoutine = false, nowMillis = 5_500) }
         assertEquals(10, written)
-        assertEquals(30, budget.dropped)
+        assertEquals(mapOf("request-served" to 15, "request-failed" to 15), budget.dropped.toMap())
         line(isRoutine = true, nowMillis = 6_000)
         assertEquals(11, written)
     }
@@ -36,13 +36,25 @@
     fun `metrics count outcomes and show nothing that callers choose`() = runTest {
         val registry = PrometheusRegistry()
         val metrics = SessionMetrics(registry)
-        val error = ProxyError(ErrorKind.RATE_EXCEEDED, "over its rate")
-        metrics.record(DecisionEvent.RequestServed(RequestId("secret-id"), DatabaseName("secret-database"), tookMillis = 12))
-        repeat(2) { metrics.record(DecisionEvent.RequestFailed(RequestId("r"), DatabaseName("secret-database"), null, error, 1, 1, 1)) }
+        metrics.record(served)
+        repeat(2) { metrics.record(failed) }
         val request = HttpRequest("GET", "/metrics", emptyMap(), emptyMap(), emptyMap(), "")
         val text = MetricsRoutes(registry).routes().single().handler.handle(request).body
         assertContains(text, "buckthornhub_statements_total{outcome=\"served\"} 1.0")
         assertContains(text, "buckthornhub_statements_total{outcome=\"rate_exceeded\"} 2.0")
         assertFalse("secret" in text)
     }
+
+    private companion object {
+        val served = DecisionEvent.RequestServed(RequestId("secret-id"), DatabaseName("secret-database"), tookMillis = 12)
+        val failed = DecisionEvent.RequestFailed(
+            RequestId("r"),
+            DatabaseName("secret-database"),
+            organisation = null,
+            ProxyError(ErrorKind.RATE_EXCEEDED, "over its rate"),
+            tookMillis = 1,
+            tableVersion = 1,
+            tableAgeMillis = 1,
+        )
+    }
 }
