Let the test of the bounded queue wait for the lines before it stops the queue

Cause: stopping interrupts the writer, which lost the line in its hands (116 of 117, seen once and traced). The appender itself lost nothing.

--- a/daemon/src/test/kotlin/org/buckthornhub/decisionlog/BoundedQueueAppenderTest.kt
+++ b/daemon/src/test/kotlin/org/buckthornhub/decisionlog/BoundedQueueAppenderTest.kt
@@ -20,10 +20,14 @@
     private val context = LoggerContext().also { it.mdcAdapter = LogbackMDCAdapter() }
     private val written = ByteArrayOutputStream()
     private val opened = CountDownLatch(1)
+
+    /** Lines that the output still has to take. */
+    private var missing = CountDownLatch(0)
     private val stuck = object : FilterOutputStream(written) {
         override fun write(bytes: ByteArray, offset: Int, length: Int) {
             opened.await()
             written.write(bytes, offset, length)
+            missing.countDown()
         }
     }
     private val queue = BoundedQueueAppender().also { queue ->
@@ -57,7 +61,9 @@
         repeat(LINES) { logger.warn("request-failed") }
         assertTrue(queue.droppedLines < routineLost + LINES, "failures find the room that routine lines leave")
         val lost = queue.droppedLines
+        missing = CountDownLatch((2L * LINES - lost).toInt())
         opened.countDown()
+        missing.await()
         queue.stop()
         assertEquals(2L * LINES - lost, written.toString().lines().count { "message" in it }.toLong())
     }
