Let a control VM that was replaced while it was away find out, and stand by

A member that was cut off or killed for more than 3 s is replaced; the entry that says so never reached it, as the leader sends to members and to those that stand by only. It stood for election for ever, and was no spare for the next loss.

Ruled out: a broken link (its requests were answered), a lost disk (it had a log and was a member in it).

The line 'answers again' came for answers without a majority too; now it comes when one is behind the answer.

--- a/core/src/main/kotlin/org/buckthornhub/replication/Election.kt
+++ b/core/src/main/kotlin/org/buckthornhub/replication/Election.kt
@@ -48,9 +48,14 @@
         }
     }
 
+    // Who hears no leader may have been replaced meanwhile, and not have heard of that either.
     private fun standForPreVote(start: Step, nowMillis: Long): Step {
         val asked = askAll(start, start.state.durable.term + 1, isPreVote = true)
-        return countPreVotes(asked, persistentSetOf(start.state.self), nowMillis)
+        return countPreVotes(
+            if (start.state.settings.isOpen) Formation.seek(asked) else asked,
+            persistentSetOf(start.state.self),
+            nowMillis,
+        )
     }
 
     private fun countPreVotes(step: Step, votes: PersistentSet<Member>, nowMillis: Long): Step =
--- a/core/src/main/kotlin/org/buckthornhub/replication/Formation.kt
+++ b/core/src/main/kotlin/org/buckthornhub/replication/Formation.kt
@@ -2,7 +2,7 @@
 
 import kotlinx.collections.immutable.persistentMapOf
 
-/** How a VM that is in no quorum finds one, or forms the first one. */
+/** How a VM that is in no quorum finds one, or forms the first one, and how one that was replaced finds out. */
 internal object Formation {
     private const val HELLO_HEARTBEATS = 5
 
@@ -10,9 +10,14 @@
         if (nowMillis < start.state.helloAtMillis) return start
         val round = start.state.helloRound + 1
         val next = nowMillis + start.state.settings.heartbeatMillis * HELLO_HEARTBEATS
-        val step = start.update { copy(helloRound = round, helloAtMillis = next, blankVms = persistentMapOf()) }
-        val others = step.state.introducers + step.state.log.members.map { it.vm } - step.state.self.vm
-        return formIfAllBlank(others.fold(step) { s, vm -> s.emit(ReplicationEffect.Send(vm, PeerMessage.Hello(s.state.self, round))) })
+        return formIfAllBlank(seek(start.update { copy(helloRound = round, helloAtMillis = next, blankVms = persistentMapOf()) }))
+    }
+
+    /** Asks everybody known for the quorum; its leader sends the log to whoever asks and is no member. */
+    fun seek(step: Step): Step {
+        val state = step.state
+        val others = state.introducers + state.log.members.map { it.vm } - state.self.vm
+        return others.fold(step) { s, vm -> s.emit(ReplicationEffect.Send(vm, PeerMessage.Hello(state.self, state.helloRound))) }
     }
 
     fun hello(start: Step, message: PeerMessage.Hello, nowMillis: Long): Step {
@@ -23,9 +28,11 @@
 
     fun helloAnswer(start: Step, message: PeerMessage.HelloAnswer): Step {
         val state = start.state
-        if (state.log.members.isNotEmpty() || message.asker != state.self || message.round != state.helloRound) return start
-        if (state.self in message.members) return adopt(start, message.members)
+        if (message.asker != state.self || message.round != state.helloRound) return start
+        val isBlank = state.log.members.isEmpty()
+        if (isBlank && state.self in message.members) return adopt(start, message.members)
         if (message.members.isNotEmpty()) return start.update { copy(introducers = introducers.addAll(message.members.map { it.vm })) }
+        if (!isBlank) return start
         if (message.from.vm !in state.settings.vms) return start
         return formIfAllBlank(start.update { copy(blankVms = blankVms.put(message.from.vm, message.from)) })
     }
--- a/core/src/test/kotlin/org/buckthornhub/replication/OpenQuorumTest.kt
+++ b/core/src/test/kotlin/org/buckthornhub/replication/OpenQuorumTest.kt
@@ -42,6 +42,27 @@
         assertEquals(21, leader(cluster).machine.control.revision)
     }
 
+    @ParameterizedTest
+    @ValueSource(ints = [1, 2, 3, 4, 5, 6, 7, 8])
+    fun `a member that was replaced while it was cut off stands by, follows the leader, and takes the next free place`(seed: Int) {
+        val cluster = formed(Random(seed))
+        cluster.join(spare)
+        run(cluster, 2_000)
+        val away = cluster.vms[seed % 3]
+        cluster.cutOff(setOf(away))
+        run(cluster, 8_000)
+        assertEquals(setOf("vm1", "vm2", "vm3", "spare") - away.value, memberNames(cluster))
+        cluster.cutOff(emptySet())
+        run(cluster, 4_000)
+        assertEquals(leader(cluster).self, (cluster.nodes.getValue(away).role as? Role.Follower)?.leader)
+        change(cluster)
+        assertEquals(1, cluster.nodes.getValue(away).machine.control.revision)
+        val lost = cluster.vms.first { it != away && it != leader(cluster).self.vm }
+        cluster.crash(lost)
+        run(cluster, 10_000)
+        assertEquals(setOf("vm1", "vm2", "vm3", "spare") - lost.value, memberNames(cluster))
+    }
+
     @Test
     fun `a VM with an empty disk forms no quorum of its own`() {
         val state = ReplicationState(
--- a/daemon/src/main/kotlin/org/buckthornhub/control/ControlTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/control/ControlTask.kt
@@ -2,6 +2,7 @@
 
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Result
+import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.coroutines.CompletableDeferred
@@ -104,10 +105,27 @@
         val decision = decider.decide(published.value, message, clock.nowMillis())
         val (durable, others) = decision.effects.partition { it is ReplicationEffect.Persist || it is ReplicationEffect.Rewrite }
         durable.forEach { carryOut(it) }
+        note(before = published.value, after = decision.state)
         published.value = decision.state
         return others
     }
 
+    private fun note(before: ReplicationState, after: ReplicationState) {
+        val leadership = leadershipOf(after)
+        val formerLeader = leadershipOf(before).leader
+        if (leadership.leader != formerLeader) {
+            logger.info {
+                "${leadership.leader ?: "nobody"} leads the control quorum in term ${leadership.controlTerm}, before it was " +
+                    (formerLeader ?: "nobody")
+            }
+        }
+        if (before.log.members != after.log.members) {
+            logger.info {
+                "members of the control quorum: ${after.log.members.map { it.vm }}, this VM is ${if (after.isMember) "one" else "none"}"
+            }
+        }
+    }
+
     private suspend fun carryOut(effect: ReplicationEffect) {
         when (effect) {
             is ReplicationEffect.Persist -> withContext(Dispatchers.IO) { storage.append(effect.records) }
@@ -133,6 +151,7 @@
 
     private companion object {
         const val TICK_MILLIS = 20L
+        val logger = KotlinLogging.logger {}
         val overloaded = Err(ProxyError(ErrorKind.NO_QUORUM, "this control VM has too much to do"))
     }
 }
--- a/daemon/src/main/kotlin/org/buckthornhub/coordination/ReportTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/coordination/ReportTask.kt
@@ -75,13 +75,18 @@
     }
 
     private fun answered(message: ReportMessage.Answered) {
-        if (failures > 0) logger.info { "control VM ${message.from} answers again after $failures failures" }
         val before = published.value
         val after = ProxyViews.after(before, message.from, message.asked, message.news)
         published.value = after
         if (after.table !== before.table) logger.info { "route table ${after.table?.version} is in force, from control VM ${message.from}" }
         val ageMillis = message.news.ageMillis
         val isUnproven = ageMillis == null || ageMillis > STALE_MILLIS
+        if (isUnproven &&
+            failures == 0
+        ) {
+            logger.warn { "control VM ${message.from} has heard no majority for $ageMillis ms; asking the next one" }
+        }
+        if (!isUnproven && failures > 0) logger.info { "control VM ${message.from} answers for a majority again, after $failures others" }
         failures = if (isUnproven) failures + 1 else 0
         // A VM that does not lead answers at once; only the leader holds the question back.
         val pause = if (message.news.instances == null && message.news.heldMillis < SHORTEST_MILLIS) SHORTEST_MILLIS else 0
