--- a/cli/src/main/kotlin/org/buckthornhub/cli/explain/ExplainCommand.kt
+++ b/cli/src/main/kotlin/org/buckthornhub/cli/explain/ExplainCommand.kt
@@ -1,11 +1,18 @@
 package org.buckthornhub.cli.explain
 
+import org.buckthornhub.cli.ExitCode
+import org.buckthornhub.cli.explain.log.LogExplainer
+import org.buckthornhub.cli.explain.log.LogExplanationText
+import org.buckthornhub.cli.explain.log.LogFile
 import org.buckthornhub.cli.operator.OperatorCommand
 import org.buckthornhub.explain.ExplainAnswer
+import org.kohsuke.args4j.Argument
 import org.kohsuke.args4j.Option
+import java.io.File
+import java.io.IOException
 import java.net.URLEncoder
 
-/** `buckthornhub explain`: says why requests went where they did, why one was refused, and what happened to a group. */
+/** `buckthornhub explain`: says why requests went where they did, why one was refused, and what happened to a group or a log. */
 internal class ExplainCommand : OperatorCommand() {
     @Option(name = "--trace", metaVar = "ID", usage = "trace id from the answer to the request")
     var trace: String? = null
@@ -16,16 +23,42 @@
     @Option(name = "--organisation", metaVar = "NAME", usage = "requests of an organisation that failed")
     var organisation: String? = null
 
+    @Option(name = "--log", metaVar = "FILE", usage = "saved log of one or many daemons to look into, in place of asking a daemon")
+    var log: File? = null
+
+    @Argument(metaVar = "ID", usage = "with --log: id of the request, as the caller sent it")
+    var request: String? = null
+
+    override val needsDaemon: Boolean get() = log == null
+
     override val explanation: String = """
         buckthornhub explain --trace ID --daemon HOST:PORT
         buckthornhub explain --group NAME --daemon HOST:PORT
         buckthornhub explain --organisation NAME --daemon HOST:PORT
+        buckthornhub explain --log FILE ID
 
         Says where a request went and why, what it waited for, and why an organisation was refused. Ask the daemon
-        that the request came in at: each daemon remembers its newest requests only (explain.records).
+        that the request came in at: each daemon remembers its newest requests only (explain.records). With --log, the
+        request is looked up in lines that daemons wrote: what it got, what the fleet noted around that time, and how many
+        others failed alike. Lines of other programs and cut ones are counted and skipped.
     """
 
-    override suspend fun act(): Int = report(client.show("explain?${query()}")) { body ->
+    override suspend fun act(): Int = log?.let { explain(it) } ?: ask()
+
+    private fun explain(file: File): Int {
+        val id = request ?: return usage("name the request: explain --log FILE ID")
+        val texts = try {
+            file.readLines()
+        } catch (e: IOException) {
+            return usage("$file can't be read: ${e.message}")
+        }
+        val read = LogFile.read(texts.asSequence())
+        val found = LogExplainer.explain(read.lines, id)
+        LogExplanationText.linesOf(id, found, read.skipped).forEach { println(it) }
+        return if (found.own.isEmpty()) ExitCode.REFUSED.code else ExitCode.DONE.code
+    }
+
+    private suspend fun ask(): Int = report(client.show("explain?${query()}")) { body ->
         ExplainText.linesOf(client.decode(ExplainAnswer.serializer(), body)).joinToString("\n")
     }
 
--- a/cli/src/main/kotlin/org/buckthornhub/cli/operator/OperatorCommand.kt
+++ b/cli/src/main/kotlin/org/buckthornhub/cli/operator/OperatorCommand.kt
@@ -16,6 +16,9 @@
     /** Explains the command to someone who has never used it. */
     protected abstract val explanation: String
 
+    /** False for what is done without any daemon. */
+    protected open val needsDaemon: Boolean get() = true
+
     override suspend fun run(): Int {
         if (help) {
             println(explanation.trimIndent())
@@ -23,7 +26,7 @@
             CmdLineParser(this).printUsage(System.out)
             return ExitCode.DONE.code
         }
-        return act()
+        return if (needsDaemon && daemon.isEmpty()) usage("option \"--daemon\" is required") else act()
     }
 
     protected abstract suspend fun act(): Int
--- a/cli/src/main/kotlin/org/buckthornhub/cli/operator/OperatorOptions.kt
+++ b/cli/src/main/kotlin/org/buckthornhub/cli/operator/OperatorOptions.kt
@@ -4,7 +4,7 @@
 
 /** Options of every command that speaks for an operator; args4j fills them. */
 internal open class OperatorOptions {
-    @Option(name = "--daemon", required = true, metaVar = "HOST:PORT", usage = "any daemon of the fleet that you can reach")
+    @Option(name = "--daemon", metaVar = "HOST:PORT", usage = "any daemon of the fleet that you can reach")
     var daemon: String = ""
 
     @Option(name = "--secret", metaVar = "SECRET", usage = "operators' secret; default: environment variable BUCKTHORNHUB_OPERATOR_SECRET")
--- a/daemon/src/main/kotlin/org/buckthornhub/decisionlog/BudgetedDecisionLog.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/decisionlog/BudgetedDecisionLog.kt
@@ -14,9 +14,10 @@
 
     override fun record(event: DecisionEvent) {
         val (next, isWritten) = budget.after(event, clock.nowMillis())
+        val isNewSecond = next.secondStartMillis != budget.secondStartMillis
         budget = next
         if (!isWritten) return
-        if (next.dropped.isNotEmpty()) {
+        if (isNewSecond && next.dropped.isNotEmpty()) {
             write(Level.WARN, OVER_BUDGET, next.dropped)
             budget = next.copy(dropped = persistentMapOf())
         }
@@ -33,7 +34,7 @@
         /** A line costs some 20 microseconds: a hundred a second take less than a hundredth of a core. */
         public const val DEFAULT_LINES_PER_SECOND: Int = 100
 
-        /** Says how many lines of each event were left out since the last line. */
+        /** Says how many lines of each event were left out in the seconds before. */
         internal const val OVER_BUDGET = "decisions-left-out"
         private val logger = KotlinLogging.logger("decisions")
     }
--- a/daemon/src/main/kotlin/org/buckthornhub/instancepool/PoolTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/instancepool/PoolTask.kt
@@ -130,10 +130,13 @@
         asking = asking.remove(token)
     }
 
-    private fun refusal(effect: PoolEffect.Refuse): ProxyError = if (effect.isLeaderless) {
-        ProxyError(ErrorKind.NO_PRIMARY, "no instance is known to lead", retryAfterMillis = LEADERLESS_RETRY_MILLIS)
-    } else {
-        ProxyError(ErrorKind.QUEUE_FULL, "no connection became free in time", retryAfterMillis = BUSY_RETRY_MILLIS)
+    private fun refusal(effect: PoolEffect.Refuse): ProxyError {
+        val group = asking[effect.token]?.want?.group
+        return if (effect.isLeaderless) {
+            ProxyError(ErrorKind.NO_PRIMARY, "no instance of group $group is known to lead", retryAfterMillis = LEADERLESS_RETRY_MILLIS)
+        } else {
+            ProxyError(ErrorKind.QUEUE_FULL, "no connection to group $group became free in time", retryAfterMillis = BUSY_RETRY_MILLIS)
+        }
     }
 
     private suspend fun connect(effect: PoolEffect.Open) {
