--- a/daemon/src/main/kotlin/org/buckthornhub/connection/SessionTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/SessionTask.kt
@@ -166,7 +166,8 @@
     private fun complete(reply: TargetReply.Completed, lease: TargetLease? = null) {
         link.send(ClientReply.Completed(reply.rows, reply.signature, phase(), reply.position))
         val id = current ?: return
-        val event = DecisionEvent.RequestServed(id, caller.database, tookMillis(), lease?.instance?.target, lease?.waitedMillis)
+        val guarantee = environment.view.value.table?.routes?.get(caller.database)?.guarantee
+        val event = DecisionEvent.RequestServed(id, caller.database, guarantee, tookMillis(), lease?.instance?.target, lease?.waitedMillis)
         environment.decisions.record(event)
     }
 
@@ -178,6 +179,7 @@
             DecisionEvent.RequestFailed(
                 id = current,
                 database = caller.database,
+                guarantee = view.table?.routes?.get(caller.database)?.guarantee,
                 organisation = view.table?.holderOf(caller.key)?.organisation,
                 error = error,
                 tookMillis = tookMillis(),
--- a/daemon/src/main/kotlin/org/buckthornhub/daemon/SessionProxyAssembly.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/daemon/SessionProxyAssembly.kt
@@ -110,6 +110,15 @@
         SessionMetrics.gauge(registry, "buckthornhub_route_table_age_seconds", "Time since a majority stood behind the route table.") {
             report.view.value.ageMillis(clock)?.let { it / MILLIS_PER_SECOND } ?: Double.NaN
         }
+        SessionMetrics.gauge(registry, "buckthornhub_position_age_seconds", "Age of the oldest group's newest position.") {
+            horizons.current().values.maxOfOrNull { clock.nowMillis() - it.heardMillis }?.let { it / MILLIS_PER_SECOND } ?: Double.NaN
+        }
+        SessionMetrics.gauge(registry, "buckthornhub_target_connections", "Connections to instances, open or on their way.") {
+            pool.current().instances.values.sumOf { it.size }.toDouble()
+        }
+        SessionMetrics.gauge(registry, "buckthornhub_waiting_statements", "Statements that wait for a connection.") {
+            pool.current().waiting.size.toDouble()
+        }
         BoundedQueueAppender.show(registry)
         return CompositeDecisionLog(listOf(SessionMetrics(registry), decisions))
     }
--- a/daemon/src/main/kotlin/org/buckthornhub/decisionlog/DecisionEvent.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/decisionlog/DecisionEvent.kt
@@ -3,6 +3,7 @@
 import org.buckthornhub.error.ProxyError
 import org.buckthornhub.organisation.OrganisationId
 import org.buckthornhub.routetable.DatabaseName
+import org.buckthornhub.routetable.ReadGuarantee
 import org.buckthornhub.statement.RequestId
 import org.buckthornhub.target.TargetId
 
@@ -16,10 +17,16 @@
     /** True for what happens all the time while all is well; it is the first to be left out under load. */
     public val isRoutine: Boolean get() = false
 
-    /** A statement got an error. @property tableVersion of the route table, whose proof of freshness is [tableAgeMillis] old */
+    /**
+     * A statement got an error.
+     *
+     * @property guarantee of the route, null if none leads from [database]
+     * @property tableVersion of the route table, whose proof of freshness is [tableAgeMillis] old
+     */
     public data class RequestFailed(
         val id: RequestId?,
         val database: DatabaseName,
+        val guarantee: ReadGuarantee?,
         val organisation: OrganisationId?,
         val error: ProxyError,
         val tookMillis: Long,
@@ -40,10 +47,16 @@
         )
     }
 
-    /** A statement ran. @property waitedMillis for a connection to [target]; null inside a transaction */
+    /**
+     * A statement ran.
+     *
+     * @property guarantee of the route, null if it is gone meanwhile
+     * @property waitedMillis for a connection to [target]; null inside a transaction
+     */
     public data class RequestServed(
         val id: RequestId,
         val database: DatabaseName,
+        val guarantee: ReadGuarantee?,
         val tookMillis: Long,
         val target: TargetId? = null,
         val waitedMillis: Long? = null,
--- a/daemon/src/main/kotlin/org/buckthornhub/decisionlog/SessionMetrics.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/decisionlog/SessionMetrics.kt
@@ -4,15 +4,21 @@
 import io.prometheus.metrics.core.metrics.GaugeWithCallback
 import io.prometheus.metrics.core.metrics.Histogram
 import io.prometheus.metrics.model.registry.PrometheusRegistry
+import org.buckthornhub.observe.BoundedLabels
+import org.buckthornhub.routetable.ReadGuarantee
 
 /** Counts decisions for Prometheus. No label holds what callers choose, so their number is bounded. */
 internal class SessionMetrics(registry: PrometheusRegistry) : DecisionLog {
+    private var targets = BoundedLabels(MOST_TARGETS)
     private val statements =
-        Counter.builder().name("buckthornhub_statements_total").help("Statements by outcome: served, or the error kind.")
-            .labelNames("outcome").register(registry)
+        Counter.builder().name("buckthornhub_statements_total").help("Statements by kind of route and outcome: served, or the error kind.")
+            .labelNames("route", "outcome").register(registry)
     private val duration =
         Histogram.builder().name("buckthornhub_statement_duration_seconds").help("From arrival to answer, by whether it was served.")
-            .labelNames("served").classicUpperBounds(*DURATION_BOUNDS).classicOnly().register(registry)
+            .labelNames("route", "served").classicUpperBounds(*DURATION_BOUNDS).classicOnly().register(registry)
+    private val served =
+        Counter.builder().name("buckthornhub_target_statements_total").help("Single statements by the instance that served them.")
+            .labelNames("target").register(registry)
     private val connectionWait =
         Histogram.builder().name("buckthornhub_connection_wait_seconds").help("Wait of single statements for a connection.")
             .classicUpperBounds(*DURATION_BOUNDS).classicOnly().register(registry)
@@ -20,19 +26,34 @@
         Counter.builder().name("buckthornhub_transactions_expired_total").help("Transactions rolled back as idle.").register(registry)
 
     override fun record(event: DecisionEvent): Unit = when (event) {
-        is DecisionEvent.RequestServed -> {
-            statements.labelValues("served").inc()
-            duration.labelValues("yes").observe(event.tookMillis / MILLIS_PER_SECOND)
-            event.waitedMillis?.let { connectionWait.observe(it / MILLIS_PER_SECOND) } ?: Unit
-        }
+        is DecisionEvent.RequestServed -> served(event)
         is DecisionEvent.RequestFailed -> {
-            statements.labelValues(event.error.kind.name.lowercase()).inc()
-            duration.labelValues("no").observe(event.tookMillis / MILLIS_PER_SECOND)
+            statements.labelValues(routeOf(event.guarantee), event.error.kind.name.lowercase()).inc()
+            duration.labelValues(routeOf(event.guarantee), "no").observe(event.tookMillis / MILLIS_PER_SECOND)
         }
         is DecisionEvent.TransactionExpired -> expired.inc()
     }
 
+    private fun served(event: DecisionEvent.RequestServed) {
+        statements.labelValues(routeOf(event.guarantee), "served").inc()
+        duration.labelValues(routeOf(event.guarantee), "yes").observe(event.tookMillis / MILLIS_PER_SECOND)
+        event.waitedMillis?.let { connectionWait.observe(it / MILLIS_PER_SECOND) }
+        event.target?.let {
+            targets = targets.with(it.value)
+            served.labelValues(targets.labelOf(it.value)).inc()
+        }
+    }
+
+    private fun routeOf(guarantee: ReadGuarantee?): String = when (guarantee) {
+        is ReadGuarantee.Latest -> "latest"
+        is ReadGuarantee.BoundedAge -> "bounded_age"
+        is ReadGuarantee.OwnWrites -> "own_writes"
+        null -> "none"
+    }
+
     companion object {
+        /** Instances come and go; later ones count as "other". */
+        private const val MOST_TARGETS = 100
         private const val MILLIS_PER_SECOND = 1_000.0
         private val DURATION_BOUNDS = doubleArrayOf(0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0)
 
--- a/daemon/src/main/kotlin/org/buckthornhub/instancepool/PoolTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/instancepool/PoolTask.kt
@@ -11,11 +11,13 @@
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.launch
 import org.buckthornhub.clock.Clock
 import org.buckthornhub.connection.TargetLink
 import org.buckthornhub.error.ErrorKind
 import org.buckthornhub.error.ProxyError
+import org.buckthornhub.fleet.StateSource
 import org.buckthornhub.target.TargetId
 import org.buckthornhub.task.Task
 import org.buckthornhub.task.startTicker
@@ -25,14 +27,17 @@
     settings: PoolSettings,
     private val links: TargetLink.Factory,
     private val clock: Clock,
-) : Task<PoolCommand>("pool") {
+) : Task<PoolCommand>("pool"),
+    StateSource<PoolState> {
     private val decider = PoolDecider(settings)
-    private var state = PoolState()
+    private val published = MutableStateFlow(PoolState())
     private var open: PersistentMap<ConnectionId, TargetLink> = persistentMapOf()
     private var asking: PersistentMap<Long, PoolCommand.Acquire> = persistentMapOf()
     private var nextToken = 0L
     private lateinit var scope: CoroutineScope
 
+    override fun current(): PoolState = published.value
+
     /** Lends a connection, or answers `NO_PRIMARY` or `QUEUE_FULL` once [deadlineMillis] has passed. */
     suspend fun acquire(want: ConnectionWant, deadlineMillis: Long): Result<TargetLease, ProxyError> {
         val answer = CompletableDeferred<Result<TargetLease, ProxyError>>()
@@ -91,8 +96,8 @@
 
     private fun decide(message: PoolMessage) {
         if (message is PoolMessage.Returned && message.state == null || message is PoolMessage.Closed) forget(message)
-        val decision = decider.decide(state, message, clock.nowMillis())
-        state = decision.state
+        val decision = decider.decide(published.value, message, clock.nowMillis())
+        published.value = decision.state
         decision.effects.forEach { carryOut(it) }
     }
 
--- a/daemon/src/test/kotlin/org/buckthornhub/decisionlog/BudgetedDecisionLogTest.kt
+++ b/daemon/src/test/kotlin/org/buckthornhub/decisionlog/BudgetedDecisionLogTest.kt
@@ -7,6 +7,7 @@
 import org.buckthornhub.error.ErrorKind
 import org.buckthornhub.error.ProxyError
 import org.buckthornhub.routetable.DatabaseName
+import org.buckthornhub.routetable.ReadGuarantee
 import org.buckthornhub.statement.RequestId
 import org.slf4j.LoggerFactory
 import kotlin.test.Test
@@ -46,8 +47,8 @@
     }
 
     private companion object {
-        val served = DecisionEvent.RequestServed(RequestId("r"), DatabaseName("d"), tookMillis = 1)
+        val served = DecisionEvent.RequestServed(RequestId("r"), DatabaseName("d"), ReadGuarantee.Latest, tookMillis = 1)
         val failed =
-            DecisionEvent.RequestFailed(RequestId("r"), DatabaseName("d"), null, ProxyError(ErrorKind.QUEUE_FULL, "full"), 1, 1, 1)
+            DecisionEvent.RequestFailed(RequestId("r"), DatabaseName("d"), null, null, ProxyError(ErrorKind.QUEUE_FULL, "full"), 1, 1, 1)
     }
 }
--- a/daemon/src/test/kotlin/org/buckthornhub/decisionlog/LogBudgetTest.kt
+++ b/daemon/src/test/kotlin/org/buckthornhub/decisionlog/LogBudgetTest.kt
@@ -7,6 +7,7 @@
 import org.buckthornhub.http.HttpRequest
 import org.buckthornhub.observe.MetricsRoutes
 import org.buckthornhub.routetable.DatabaseName
+import org.buckthornhub.routetable.ReadGuarantee
 import org.buckthornhub.statement.RequestId
 import kotlin.test.Test
 import kotlin.test.assertContains
@@ -40,16 +41,22 @@
         repeat(2) { metrics.record(failed) }
         val request = HttpRequest("GET", "/metrics", emptyMap(), emptyMap(), emptyMap(), "")
         val text = MetricsRoutes(registry).routes().single().handler.handle(request).body
-        assertContains(text, "buckthornhub_statements_total{outcome=\"served\"} 1.0")
-        assertContains(text, "buckthornhub_statements_total{outcome=\"rate_exceeded\"} 2.0")
+        assertContains(text, "buckthornhub_statements_total{outcome=\"served\",route=\"latest\"} 1.0")
+        assertContains(text, "buckthornhub_statements_total{outcome=\"rate_exceeded\",route=\"none\"} 2.0")
         assertFalse("secret" in text)
     }
 
     private companion object {
-        val served = DecisionEvent.RequestServed(RequestId("secret-id"), DatabaseName("secret-database"), tookMillis = 12)
+        val served = DecisionEvent.RequestServed(
+            RequestId("secret-id"),
+            DatabaseName("secret-database"),
+            ReadGuarantee.Latest,
+            tookMillis = 12,
+        )
         val failed = DecisionEvent.RequestFailed(
             RequestId("r"),
             DatabaseName("secret-database"),
+            guarantee = null,
             organisation = null,
             ProxyError(ErrorKind.RATE_EXCEEDED, "over its rate"),
             tookMillis = 1,
