Drop proofs of a majority that were asked for before a VM stood still

Answers that lay in the socket while a control VM was suspended, with its monotonic clock, looked as young as their round trip; a daemon that reached only this VM took keys to be fresh that others had taken away meanwhile.

Change: the task of the log notices that the calendar ran ahead of the monotonic clock, and the log then counts only what was asked for since. A calendar that is set forward costs one heartbeat of proofs.

--- a/core/src/main/kotlin/org/buckthornhub/replication/Commitment.kt
+++ b/core/src/main/kotlin/org/buckthornhub/replication/Commitment.kt
@@ -57,7 +57,9 @@
                 },
             )
         }
-        return if (isSettled) Proposals.answerConfirmations(step.update { copy(freshMillis = confirmed) }, round) else step
+        if (!isSettled) return step
+        val fresh = if (confirmed < start.state.awakeSinceMillis) step else step.update { copy(freshMillis = confirmed) }
+        return Proposals.answerConfirmations(fresh, round)
     }
 
     // The highest value that more than half of the members reach.
--- a/core/src/main/kotlin/org/buckthornhub/replication/Following.kt
+++ b/core/src/main/kotlin/org/buckthornhub/replication/Following.kt
@@ -34,8 +34,8 @@
         Election.restartTimer(Election.follow(start, term, leader, nowMillis), nowMillis)
 
     private fun freshened(step: Step, echo: Long?): Step {
-        val known = step.state.freshMillis
-        return if (echo == null || known != null && known >= echo) step else step.update { copy(freshMillis = echo) }
+        val known = step.state.freshMillis ?: step.state.awakeSinceMillis
+        return if (echo == null || known >= echo) step else step.update { copy(freshMillis = echo) }
     }
 
     private fun answer(step: Step, leader: Member, round: Long, matchIndex: Long?, nowMillis: Long): Step {
--- a/core/src/main/kotlin/org/buckthornhub/replication/ReplicationDecider.kt
+++ b/core/src/main/kotlin/org/buckthornhub/replication/ReplicationDecider.kt
@@ -18,6 +18,7 @@
 
     private fun step(start: Step, message: ReplicationMessage, nowMillis: Long): Step = when (message) {
         is ReplicationMessage.Tick -> tick(start, nowMillis)
+        is ReplicationMessage.Suspended -> start.update { copy(awakeSinceMillis = nowMillis, freshMillis = null) }
         is ReplicationMessage.Received -> Reception.receive(start, message.message, nowMillis)
         is ReplicationMessage.Propose -> Proposals.propose(start, message)
         is ReplicationMessage.Flush -> Proposals.flush(start, nowMillis)
--- a/core/src/main/kotlin/org/buckthornhub/replication/ReplicationMessage.kt
+++ b/core/src/main/kotlin/org/buckthornhub/replication/ReplicationMessage.kt
@@ -8,6 +8,9 @@
     /** Time went on. */
     public data object Tick : ReplicationMessage
 
+    /** The VM may have stood still, and its monotonic clock with it: what was asked before says nothing of now. */
+    public data object Suspended : ReplicationMessage
+
     public data class Received(val message: PeerMessage) : ReplicationMessage
 
     /** Commit [command]; answered by [ReplicationEffect.AnswerProposal] with the same [token]. */
--- a/core/src/main/kotlin/org/buckthornhub/replication/ReplicationState.kt
+++ b/core/src/main/kotlin/org/buckthornhub/replication/ReplicationState.kt
@@ -13,6 +13,7 @@
  * @property commitIndex last entry known to be committed; [machine] is the state after it
  * @property electionAtMillis when to stand for election unless a leader is heard before
  * @property freshMillis local time at which a majority stood behind [machine] or an older state; null if never
+ * @property awakeSinceMillis local time of the last suspension; proofs that were asked for before it count for nothing
  * @property introducers VMs that are asked for the quorum by one that is no member
  * @property blankVms VMs that answered the hello of [helloRound] and are in no quorum either
  */
@@ -26,6 +27,7 @@
     val machine: MachineState = durable.log.snapshot.machine,
     val electionAtMillis: Long? = null,
     val freshMillis: Long? = null,
+    val awakeSinceMillis: Long = 0,
     val introducers: PersistentSet<VmId> = settings.vms.toPersistentSet(),
     val helloRound: Long = 0,
     val helloAtMillis: Long = 0,
--- a/daemon/src/main/kotlin/org/buckthornhub/control/ControlTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/control/ControlTask.kt
@@ -24,6 +24,7 @@
 import org.buckthornhub.replication.ReplicationMessage
 import org.buckthornhub.replication.ReplicationState
 import org.buckthornhub.replication.Role
+import org.buckthornhub.suspension.SuspensionWatch
 import org.buckthornhub.task.Mailbox
 import org.buckthornhub.task.Task
 import org.buckthornhub.task.startTicker
@@ -38,6 +39,7 @@
     ControlLog,
     FeedSource {
     private val decider = ReplicationDecider()
+    private val suspensions = SuspensionWatch(clock)
     private val published = MutableStateFlow(initial)
     private var nextToken = 0L
     private var proposals: PersistentMap<Long, CompletableDeferred<Result<CommandOutcome, ProxyError>>> = persistentMapOf()
@@ -46,7 +48,9 @@
     override val state: StateSource<ControlState> = StateSource { published.value.machine.control }
     override val leadership: StateSource<ControlLeadership> = StateSource { leadershipOf(published.value) }
 
-    override fun view(): ReplicatedView = published.value.let { ReplicatedView(it.machine.control, it.freshMillis ?: 0) }
+    override fun view(): ReplicatedView = published.value.let { state ->
+        ReplicatedView(state.machine.control, state.freshMillis.takeUnless { suspensions.isDue() } ?: 0)
+    }
 
     /** Emits after each change of whatever is known here. */
     val changes: Flow<Any> get() = published
@@ -102,6 +106,10 @@
 
     // The state is published before any answer, so that whoever got an answer reads what it speaks of.
     private suspend fun decideAndSync(message: ReplicationMessage): List<ReplicationEffect> {
+        if (suspensions.look()) {
+            logger.warn { "this VM stood still or its calendar was set forward; proofs of a majority from before are dropped" }
+            published.value = decider.decide(published.value, ReplicationMessage.Suspended, clock.nowMillis()).state
+        }
         val decision = decider.decide(published.value, message, clock.nowMillis())
         val (durable, others) = decision.effects.partition { it is ReplicationEffect.Persist || it is ReplicationEffect.Rewrite }
         durable.forEach { carryOut(it) }
