Give the token of an operation back that no target was found for

Change: an outcome of its own for 'no target was found', after which the token goes back; operators count what reaches an instance.

Test that failed first: SessionTaskTest, operations that no target was found for (RATE_EXCEEDED after three).

--- a/core/src/main/kotlin/org/buckthornhub/quota/MeterDecider.kt
+++ b/core/src/main/kotlin/org/buckthornhub/quota/MeterDecider.kt
@@ -11,6 +11,7 @@
     override fun decide(state: MeterBook, message: MeterMessage, nowMillis: Long): Decision<MeterBook, MeterEffect> = when (message) {
         is MeterMessage.Admit -> admit(state, message, nowMillis)
         is MeterMessage.Drawn -> drawn(state, message, nowMillis)
+        is MeterMessage.Returned -> Decision(returned(state, message.organisation, nowMillis))
         is MeterMessage.Tick -> Decision(measured(state))
     }
 
@@ -62,6 +63,12 @@
         return serve(spent.copy(waiting = meter.waiting.removeAt(0)), nowMillis, admitted + MeterEffect.Admitted(first))
     }
 
+    private fun returned(state: MeterBook, organisation: OrganisationId, nowMillis: Long): MeterBook {
+        val meter = state.meters[organisation] ?: return state
+        val own = meter.rate.refill(meter.own, nowMillis)
+        return state.with(organisation, meter.copy(own = meter.rate.refill(own.copy(tokens = own.tokens + 1), nowMillis)))
+    }
+
     private fun measured(state: MeterBook): MeterBook = state.meters.entries.fold(state) { book, (organisation, meter) ->
         val latest = meter.asked * TICKS_PER_SECOND
         val weight = if (latest > meter.perSecond) RISE else FALL
--- a/core/src/main/kotlin/org/buckthornhub/quota/MeterMessage.kt
+++ b/core/src/main/kotlin/org/buckthornhub/quota/MeterMessage.kt
@@ -18,6 +18,9 @@
         val tokens: Int,
     ) : MeterMessage
 
+    /** An operation that was let through never reached a target. */
+    public data class Returned(val organisation: OrganisationId) : MeterMessage
+
     /** A quarter of a second went by. */
     public data object Tick : MeterMessage
 }
--- a/daemon/src/main/kotlin/org/buckthornhub/connection/AloneStatements.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/AloneStatements.kt
@@ -19,7 +19,7 @@
         // A refusal that nothing ran may be followed by another try; the bound only guards against a loop.
         repeat(MAX_TRIES) {
             val outcome = attempt(scope, work, id, session, current, receivedMillis, excluded)
-            if (outcome !is RunOutcome.Again) return (outcome as? RunOutcome.Final)?.let { preferred(it, last) } ?: outcome
+            if (outcome !is RunOutcome.Again) return preferred(outcome, last)
             last = outcome
             excluded = excluded + setOfNotNull(outcome.tried)
             current = admission.at(environment.clock.nowMillis())
@@ -43,8 +43,16 @@
     }
 
     // What the last target said tells more than that no further one was found.
-    private fun preferred(final: RunOutcome.Final, last: RunOutcome.Again?): RunOutcome.Final =
-        if (last == null) final else RunOutcome.Final(last.error.copy(detail = "${last.error.detail}; then ${final.error.detail}"))
+    private fun preferred(outcome: RunOutcome, last: RunOutcome.Again?): RunOutcome {
+        val error = if (last == null) null else (outcome as? RunOutcome.NoTarget)?.error ?: (outcome as? RunOutcome.Final)?.error
+        return if (last == null ||
+            error == null
+        ) {
+            outcome
+        } else {
+            RunOutcome.Final(last.error.copy(detail = "${last.error.detail}; then ${error.detail}"))
+        }
+    }
 
     private companion object {
         const val MAX_TRIES = 4
--- a/daemon/src/main/kotlin/org/buckthornhub/connection/ReadStatements.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/ReadStatements.kt
@@ -20,9 +20,9 @@
         receivedMillis: Long,
         excluded: Set<TargetId>,
     ): RunOutcome {
-        val floor = floorOf(admission, session, receivedMillis) ?: return RunOutcome.Final(unknownFloor(admission))
+        val floor = floorOf(admission, session, receivedMillis) ?: return RunOutcome.NoTarget(unknownFloor(admission))
         val want = wantOf(admission, floor, excluded)
-        val lease = environment.pool.acquire(want, admission.offerByMillis).getOrElse { return RunOutcome.Final(it) }
+        val lease = environment.pool.acquire(want, admission.offerByMillis).getOrElse { return RunOutcome.NoTarget(it) }
         val target = lease.instance.target
         val reply = lease.work(work, id, session, floor, admission.attemptMillis).getOrElse { failure ->
             lease.giveBack()
--- a/daemon/src/main/kotlin/org/buckthornhub/connection/RunOutcome.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/RunOutcome.kt
@@ -12,6 +12,9 @@
         val lease: TargetLease,
     ) : RunOutcome
 
+    /** No target was found to offer the work to, so nothing was sent. */
+    data class NoTarget(val error: ProxyError) : RunOutcome
+
     /** Nothing more is tried. */
     data class Final(val error: ProxyError) : RunOutcome
 
--- a/daemon/src/main/kotlin/org/buckthornhub/connection/SessionTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/SessionTask.kt
@@ -121,6 +121,10 @@
                 if (step.work.access == Access.WRITE) noteCommit(admission, outcome.reply.position)
                 complete(outcome.reply, outcome.lease)
             }
+            is RunOutcome.NoTarget -> {
+                environment.meter.giveBack(admission.organisation)
+                return turnAway(outcome.error)
+            }
             is RunOutcome.Final -> return turnAway(outcome.error)
             is RunOutcome.Again -> return turnAway(outcome.error)
         }
@@ -131,7 +135,10 @@
         val open = transaction ?: return fail(lostTransaction)
         // A key that was taken away ends its transactions too.
         gate.check(caller).getOrElse { return fail(it) }
-        val reply = open.run(step.work, request.id, session, step.transaction).getOrElse { return fail(it) }
+        val reply = open.run(step.work, request.id, session, step.transaction).getOrElse {
+            if (!open.wasOffered) environment.meter.giveBack(open.organisation)
+            return fail(it)
+        }
         val hasWritten = step.transaction.hasWritten || step.work.access == Access.WRITE
         session = session.copy(transaction = step.transaction.copy(hasWritten = hasWritten))
         complete(reply)
--- a/daemon/src/main/kotlin/org/buckthornhub/connection/TransactionRun.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/TransactionRun.kt
@@ -21,10 +21,15 @@
 ) {
     private val leader = LeaderStatements(environment)
     private val reads = ReadStatements(environment)
+    val organisation get() = admission.organisation
     private val timeoutMillis get() = admission.route.statementTimeoutMillis
     private var lease: TargetLease? = null
     private var isAtLeader = false
 
+    /** Whether a target was found for it, so that something may have been sent. */
+    var wasOffered = false
+        private set
+
     /** Fails with an error after which nothing of the transaction is kept. */
     suspend fun run(
         work: TargetWork,
@@ -99,7 +104,7 @@
     }
 
     private fun Result<TargetLease, RunOutcome>.fold(last: ProxyError?): Result<TargetLease, ProxyError> {
-        val lease = getOrElse { return Err(last ?: (it as RunOutcome.Final).error) }
+        val lease = getOrElse { return Err(last ?: (it as RunOutcome.NoTarget).error) }
         this@TransactionRun.lease = lease
         return Ok(lease)
     }
@@ -112,9 +117,10 @@
     ): Result<TargetLease, RunOutcome> {
         val isReplicaEnough = open.readOnly && admission.route.guarantee !is ReadGuarantee.Latest
         val floor = if (isReplicaEnough) reads.floorOf(admission, session, open.beganMillis) else null
-        if (isReplicaEnough && floor == null) return Err(RunOutcome.Final(reads.unknownFloor(admission)))
+        if (isReplicaEnough && floor == null) return Err(RunOutcome.NoTarget(reads.unknownFloor(admission)))
         val want = if (floor == null) leader.wantOf(admission) else reads.wantOf(admission, floor, excluded)
-        val lease = environment.pool.acquire(want, admission.offerByMillis).getOrElse { return Err(RunOutcome.Final(it)) }
+        val lease = environment.pool.acquire(want, admission.offerByMillis).getOrElse { return Err(RunOutcome.NoTarget(it)) }
+        wasOffered = true
         val target = lease.instance.target
         val askedMillis = environment.clock.nowMillis()
         val reply = lease.run(TargetStatement.Begin(readOnly = floor != null, floor), admission.attemptMillis).getOrElse {
--- a/daemon/src/main/kotlin/org/buckthornhub/quota/MeterTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/quota/MeterTask.kt
@@ -33,6 +33,11 @@
         return if (offer(MeterCommand.Admit(organisation, rate, answer))) answer.await() else OVERLOADED_MILLIS
     }
 
+    /** Takes the token of an operation back that was let through and never reached a target. */
+    fun giveBack(organisation: OrganisationId) {
+        offer(MeterCommand.Decide(MeterMessage.Returned(organisation)))
+    }
+
     override suspend fun onStart(scope: CoroutineScope) {
         this.scope = scope
         scope.startTicker(this, MeterDecider.TICK_MILLIS, MeterCommand.Decide(MeterMessage.Tick))
--- a/daemon/src/test/kotlin/org/buckthornhub/connection/SessionTaskTest.kt
+++ b/daemon/src/test/kotlin/org/buckthornhub/connection/SessionTaskTest.kt
@@ -110,6 +110,22 @@
         }
     }
 
+    @Test
+    fun `operations that no target was found for use nothing of the limit`() = runTest {
+        val leader = FakeInstance("leader", TargetRole.REPLICA, applied = 7)
+        val fleet = FakeFleet(this, listOf(leader)).also { it.start() }
+        fleet.change { copy(organisations = organisations.mapValues { it.value.copy(ratePerSecond = 0.1, burst = 40.0) }) }
+        val caller = fleet.caller()
+        caller.open("latest", "key")
+        repeat(10) {
+            fleet.freshen()
+            assertEquals(ErrorKind.NO_PRIMARY, assertIs<ClientReply.Failed>(caller.ask(write)).error.kind)
+            caller.ask(begin)
+            assertEquals(ErrorKind.NO_PRIMARY, assertIs<ClientReply.Failed>(caller.ask(read)).error.kind)
+            caller.ask(ClientStatement.RollBack)
+        }
+    }
+
     @ParameterizedTest
     @ValueSource(booleans = [false, true])
     fun `a caller that was refused is sent to another daemon if this one is cut off`(isCutOff: Boolean) = runTest {
