Tell a new control leader of the instances that daemons know

The new leader was elected after 0.5 s, but the primary could not announce itself to it, so what daemons said of it ('can't reach i-259ff971aa') named nobody, and the group was without a leader for 3.6 s.

Ruled out: the election (0.5 s), the promotion (0.6 s).

Change: a report to a VM that may have been elected just now carries the daemon's directory; births and sequences decide what is newer.

--- a/core/src/main/kotlin/org/buckthornhub/coordination/CoordinatorDecider.kt
+++ b/core/src/main/kotlin/org/buckthornhub/coordination/CoordinatorDecider.kt
@@ -33,7 +33,9 @@
     }
 
     private fun reported(state: CoordinatorState, report: ProxyReport, nowMillis: Long): Decision<CoordinatorState, FailoverEffect> {
-        val next = state.copy(
+        // A new leader learns of instances that can't announce themselves to it, such as a primary that was cut off with the last one.
+        val known = withDirectory(state, report.instances.fold(state.directory) { directory, record -> directory.with(record) })
+        val next = known.copy(
             demand = state.demand.with(report.vm, report.demand, nowMillis),
             unreachable = state.unreachable.put(report.vm, report.unreachable),
         )
--- a/core/src/main/kotlin/org/buckthornhub/coordination/ProxyReport.kt
+++ b/core/src/main/kotlin/org/buckthornhub/coordination/ProxyReport.kt
@@ -1,6 +1,7 @@
 package org.buckthornhub.coordination
 
 import kotlinx.serialization.Serializable
+import org.buckthornhub.directory.InstanceRecord
 import org.buckthornhub.fleet.VmId
 import org.buckthornhub.quota.DemandReport
 import org.buckthornhub.target.TargetId
@@ -10,6 +11,7 @@
  *
  * @property tableVersion of the route table that it has
  * @property directoryRevision of the newest directory that it has from the leader of [controlTerm]
+ * @property instances all that it knows, told to a leader that may have been elected just now
  * @property unreachable primaries that have given it no answer for some time
  */
 @Serializable
@@ -19,5 +21,6 @@
     val controlTerm: Long = 0,
     val directoryRevision: Long = -1,
     val demand: DemandReport = DemandReport(),
+    val instances: List<InstanceRecord> = emptyList(),
     val unreachable: Set<TargetId> = emptySet(),
 )
--- a/core/src/test/kotlin/org/buckthornhub/coordination/CoordinatorDeciderTest.kt
+++ b/core/src/test/kotlin/org/buckthornhub/coordination/CoordinatorDeciderTest.kt
@@ -33,6 +33,20 @@
         assertEquals(case.isSurveyed, effects.any { it is FailoverEffect.Survey })
     }
 
+    @Test
+    fun `a new leader replaces a primary that it only knows from daemons, as it was cut off with the last leader`() {
+        val elected = decider.decide(CoordinatorState(), CoordinatorMessage.Tick(isLeader = true), 0).state
+        val announced = decider.decide(elected, CoordinatorMessage.Announced(replica), 100).state
+        val reported = (1..DAEMONS).fold(announced) { state, number ->
+            val report =
+                ProxyReport(VmId("vm$number"), instances = listOf(primary, replica.copy(sequence = 0)), unreachable = setOf(primary.target))
+            decider.decide(state, CoordinatorMessage.Reported(report), 200).state
+        }
+        assertEquals(replica.sequence, reported.directory.records.getValue(replica.target).sequence)
+        val effects = decider.decide(reported, CoordinatorMessage.Tick(isLeader = true), CoordinatorDecider.SETTLE_MILLIS).effects
+        assertEquals(listOf(replica.target), effects.filterIsInstance<FailoverEffect.Survey>().map { it.target })
+    }
+
     @Test
     fun `only what daemons act on is news of the directory`() {
         val known = decider.decide(CoordinatorState(), CoordinatorMessage.Announced(primary), 0).state
--- a/daemon/src/main/kotlin/org/buckthornhub/coordination/ReportTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/coordination/ReportTask.kt
@@ -38,6 +38,7 @@
     private var connections: PersistentMap<VmId, HttpLink> = persistentMapOf()
     private var silentLeaders: Set<TargetId> = emptySet()
     private var failures = 0
+    private var answeredTerm = 0L
     private lateinit var scope: CoroutineScope
 
     val view: StateFlow<ProxyView> get() = published
@@ -78,6 +79,7 @@
         val before = published.value
         val after = ProxyViews.after(before, message.from, message.asked, message.news)
         published.value = after
+        answeredTerm = message.news.controlTerm
         if (after.table !== before.table) logger.info { "route table ${after.table?.version} is in force, from control VM ${message.from}" }
         val ageMillis = message.news.ageMillis
         val isUnproven = ageMillis == null || ageMillis > STALE_MILLIS
@@ -147,9 +149,13 @@
         controlTerm = view.controlTerm,
         directoryRevision = view.directoryRevision,
         demand = demand.current(),
+        instances = if (mayBeElectedNow(view)) view.directory.records.values.toList() else emptyList(),
         unreachable = silentLeaders,
     )
 
+    // Whoever is asked next may not be the leader whose directory this daemon has.
+    private fun mayBeElectedNow(view: ProxyView): Boolean = failures > 0 || answeredTerm != view.controlTerm
+
     private fun linkTo(source: VmId): HttpLink {
         connections[source]?.let { return it }
         return links.open(addressOf(source)).also { connections = connections.put(source, it) }
