Let a new control leader act on what most of the fleet says, before it has heard everybody

Ruled out: acting on most of those heard so far, since the first two to report may be the two that are cut off.

Change: daemons tell how many the last leader counted, and until a new one has settled a primary is lost if more than half of those say so.

Tests: CoordinatorDeciderTest, three cases (the first failed before).

--- a/core/src/main/kotlin/org/buckthornhub/coordination/CoordinatorDecider.kt
+++ b/core/src/main/kotlin/org/buckthornhub/coordination/CoordinatorDecider.kt
@@ -38,6 +38,7 @@
         val next = known.copy(
             demand = state.demand.with(report.vm, report.demand, nowMillis),
             unreachable = state.unreachable.put(report.vm, report.unreachable),
+            proxies = maxOf(state.proxies, report.proxies),
         )
         return if (report.unreachable.isEmpty()) Decision(next) else review(next, nowMillis)
     }
@@ -56,13 +57,16 @@
 
     private fun review(state: CoordinatorState, nowMillis: Long): Decision<CoordinatorState, FailoverEffect> {
         val since = state.leadingSinceMillis ?: return Decision(state)
-        if (nowMillis - since < SETTLE_MILLIS) return Decision(state)
-        return fail(state, FailoverMessage.Review(state.directory.records.values, unreachable(state), since), nowMillis)
+        val isSettled = isSettled(state, nowMillis)
+        if (!isSettled && state.proxies == 0) return Decision(state)
+        // A leader that is too new to have heard of every daemon counts those that the last one knew of as well.
+        val daemons = if (isSettled) state.unreachable.size else maxOf(state.unreachable.size, state.proxies)
+        return fail(state, FailoverMessage.Review(state.directory.records.values, unreachable(state, daemons), since), nowMillis)
     }
 
-    private fun unreachable(state: CoordinatorState): Set<TargetId> {
+    private fun unreachable(state: CoordinatorState, daemons: Int): Set<TargetId> {
         val counts = state.unreachable.values.flatten().groupingBy { it }.eachCount()
-        return counts.filterValues { it * 2 > state.unreachable.size }.keys
+        return counts.filterValues { it * 2 > daemons }.keys
     }
 
     private fun fail(state: CoordinatorState, message: FailoverMessage, nowMillis: Long): Decision<CoordinatorState, FailoverEffect> {
--- a/core/src/main/kotlin/org/buckthornhub/coordination/CoordinatorState.kt
+++ b/core/src/main/kotlin/org/buckthornhub/coordination/CoordinatorState.kt
@@ -13,6 +13,7 @@
  *
  * @property directoryRevision grows with each change of [directory]
  * @property unreachable what each daemon can't reach
+ * @property proxies daemons that serve sessions, as they were told by an earlier leader; 0 if not known
  * @property leadingSinceMillis null on a VM that does not lead
  */
 public data class CoordinatorState(
@@ -20,6 +21,7 @@
     val directoryRevision: Long = 0,
     val demand: DemandBoard = DemandBoard(),
     val unreachable: PersistentMap<VmId, Set<TargetId>> = persistentMapOf(),
+    val proxies: Int = 0,
     val failover: FailoverState = FailoverState(),
     val leadingSinceMillis: Long? = null,
 )
--- a/core/src/test/kotlin/org/buckthornhub/coordination/CoordinatorDeciderTest.kt
+++ b/core/src/test/kotlin/org/buckthornhub/coordination/CoordinatorDeciderTest.kt
@@ -27,7 +27,7 @@
         }
         val effects = (1..DAEMONS).flatMap { number ->
             val unreachable = if (number <= case.blind) setOf(primary.target) else emptySet()
-            val report = ProxyReport(VmId("vm$number"), unreachable = unreachable)
+            val report = ProxyReport(VmId("vm$number"), proxies = case.counted, unreachable = unreachable)
             decider.decide(state, CoordinatorMessage.Reported(report), case.ledMillis).also { state = it.state }.effects
         } + decider.decide(state, CoordinatorMessage.Tick(case.isLeader), case.ledMillis).effects
         assertEquals(case.isSurveyed, effects.any { it is FailoverEffect.Survey })
@@ -72,6 +72,23 @@
             CoordinatorCase("one does not", blind = 1, ledMillis = 9_000, isLeader = true, isSurveyed = false),
             CoordinatorCase("most do not", blind = 2, ledMillis = 9_000, isLeader = true, isSurveyed = true),
             CoordinatorCase("a leader that is too new", blind = 3, ledMillis = 1_000, isLeader = true, isSurveyed = false),
+            CoordinatorCase(
+                "a new leader, and most of all daemons",
+                blind = 2,
+                ledMillis = 100,
+                isLeader = true,
+                isSurveyed = true,
+                counted = 3,
+            ),
+            CoordinatorCase(
+                "a new leader, and most of those it heard",
+                3,
+                ledMillis = 100,
+                isLeader = true,
+                isSurveyed = false,
+                counted = 6,
+            ),
+            CoordinatorCase("a fleet that became smaller", blind = 2, ledMillis = 9_000, isLeader = true, isSurveyed = true, counted = 6),
             CoordinatorCase("not the leader", blind = 3, ledMillis = 9_000, isLeader = false, isSurveyed = false),
         )
     }
--- a/daemon/src/main/kotlin/org/buckthornhub/coordination/ReportTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/coordination/ReportTask.kt
@@ -150,6 +150,7 @@
         directoryRevision = view.directoryRevision,
         demand = demand.current(),
         instances = if (mayBeElectedNow(view)) view.directory.records.values.toList() else emptyList(),
+        proxies = if (view.shares.isEmpty()) 0 else view.proxies,
         unreachable = silentLeaders,
     )
 
