--- a/core/src/main/kotlin/org/buckthornhub/connection/SessionState.kt
+++ b/core/src/main/kotlin/org/buckthornhub/connection/SessionState.kt
@@ -10,14 +10,14 @@
  *
  * @property values set by the session, by name
  * @property prepared statements of the session, by its own names
+ * @property commits newest commit of the session in each group
  */
 public data class SessionState(
     val values: PersistentMap<String, String> = persistentMapOf(),
     val prepared: PersistentMap<String, PreparedStatement> = persistentMapOf(),
     val transaction: TransactionState = TransactionState.None,
-    val commits: PersistentMap<GroupId, CommitMark> = persistentMapOf(),
+    val commits: PersistentMap<GroupId, Position> = persistentMapOf(),
 ) {
     /** This session after [position] of [group] was acknowledged to it. */
-    public fun committed(group: GroupId, position: Position, nowMillis: Long): SessionState =
-        copy(commits = commits.put(group, CommitMark(position, nowMillis)))
+    public fun committed(group: GroupId, position: Position): SessionState = copy(commits = commits.put(group, position))
 }
--- a/core/src/main/kotlin/org/buckthornhub/horizon/CommitHorizon.kt
+++ b/core/src/main/kotlin/org/buckthornhub/horizon/CommitHorizon.kt
@@ -3,7 +3,6 @@
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toPersistentList
-import org.buckthornhub.connection.CommitMark
 import org.buckthornhub.group.Position
 
 /** What a daemon knows of the commits of one group, from the answers of the instance that led it. */
@@ -27,13 +26,13 @@
     public fun floorAt(atMillis: Long, maxAgeMillis: Long): Position? =
         samples.firstOrNull { it.askedMillis >= atMillis - maxAgeMillis }?.position
 
-    /** [floorAt], and the newest commit of the session unless a later sample of the leader stands for it. */
-    public fun floorAt(atMillis: Long, maxAgeMillis: Long, own: CommitMark?): Position? {
+    /** [floorAt], and the newest commit of the session, [own], unless a later sample of the leader stands for it. */
+    public fun floorAt(atMillis: Long, maxAgeMillis: Long, own: Position?): Position? {
         val floor = floorAt(atMillis, maxAgeMillis) ?: return null
         if (own == null) return floor
         // A promotion may have dropped the commit; then only a newer sample tells what to wait for.
-        val replaced = samples.firstOrNull { it.position.term > own.position.term }?.position
-        val needed = replaced ?: own.position
+        val replaced = samples.firstOrNull { it.position.term > own.term }?.position
+        val needed = replaced ?: own
         return if (compare(needed, floor) > 0) needed else floor
     }
 
--- a/core/src/main/kotlin/org/buckthornhub/instancepool/PoolMessage.kt
+++ b/core/src/main/kotlin/org/buckthornhub/instancepool/PoolMessage.kt
@@ -31,11 +31,10 @@
         val applied: Position?,
     ) : PoolMessage
 
-    /** @property isFull true if the instance takes no more connections, false if it can't be reached or is another one */
+    /** The instance can't be reached, takes no more connections, or is another one. */
     public data class OpenFailed(
         val connection: ConnectionId,
         val target: TargetId,
-        val isFull: Boolean,
     ) : PoolMessage
 
     /** An idle connection ended. */
--- a/core/src/test/kotlin/org/buckthornhub/horizon/CommitHorizonTest.kt
+++ b/core/src/test/kotlin/org/buckthornhub/horizon/CommitHorizonTest.kt
@@ -1,6 +1,5 @@
 package org.buckthornhub.horizon
 
-import org.buckthornhub.connection.CommitMark
 import org.buckthornhub.group.LogPosition
 import org.buckthornhub.group.Position
 import org.buckthornhub.group.Term
@@ -56,19 +55,19 @@
             FloorCase(
                 "an own commit beyond it",
                 listOf(sample(8_500, 1, 6), sample(9_000, 1, 7)),
-                CommitMark(position(1, 8), 9_900),
+                position(1, 8),
                 position(1, 8),
             ),
             FloorCase(
                 "an own commit before it",
                 listOf(sample(8_500, 1, 6)),
-                CommitMark(position(1, 3), 1_000),
+                position(1, 3),
                 position(1, 6),
             ),
             FloorCase(
                 "an own commit that a promotion may have dropped",
                 listOf(sample(8_500, 1, 6), sample(9_500, 2, 7)),
-                CommitMark(position(1, 9), 9_000),
+                position(1, 9),
                 position(2, 7),
             ),
             FloorCase("an answer that goes back is dropped", listOf(sample(8_500, 2, 6), sample(9_500, 1, 9)), null, position(2, 6)),
--- a/core/src/test/kotlin/org/buckthornhub/instancepool/PoolDeciderTest.kt
+++ b/core/src/test/kotlin/org/buckthornhub/instancepool/PoolDeciderTest.kt
@@ -136,7 +136,7 @@
                                 null,
                             )
                         } else {
-                            PoolMessage.OpenFailed(open.connection, target, true)
+                            PoolMessage.OpenFailed(open.connection, target)
                         },
                         now,
                     )
--- a/daemon/src/main/kotlin/org/buckthornhub/connection/SessionTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/SessionTask.kt
@@ -162,7 +162,7 @@
     }
 
     private fun noteCommit(admission: Admission, position: Position?) {
-        if (position != null) session = session.committed(admission.route.group, position, environment.clock.nowMillis())
+        if (position != null) session = session.committed(admission.route.group, position)
     }
 
     private fun acknowledge(state: SessionState) {
--- a/daemon/src/main/kotlin/org/buckthornhub/connection/TargetConnectFailure.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/TargetConnectFailure.kt
@@ -1,7 +1,4 @@
 package org.buckthornhub.connection
 
-/** @property isFull true if the target takes no more connections */
-public data class TargetConnectFailure(
-    val isFull: Boolean,
-    val detail: String,
-)
+/** No connection to a target came about. */
+public data class TargetConnectFailure(val detail: String)
--- a/daemon/src/main/kotlin/org/buckthornhub/instancepool/PoolTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/instancepool/PoolTask.kt
@@ -149,7 +149,7 @@
         val onEnd: () -> Unit = { offer(PoolCommand.Decide(PoolMessage.Closed(effect.connection, target))) }
         val link = links.open(effect.instance, effect.organisation, CONNECT_TIMEOUT_MILLIS, onEnd).getOrElse { failure ->
             logger.debug { "no connection to $target at ${effect.instance.address}: ${failure.detail}" }
-            report(PoolCommand.Decide(PoolMessage.OpenFailed(effect.connection, target, failure.isFull)))
+            report(PoolCommand.Decide(PoolMessage.OpenFailed(effect.connection, target)))
             return
         }
         report(PoolCommand.LinkOpened(effect.connection, link, PoolMessage.Opened(effect.connection, target, link.position)))
