--- a/daemon/src/main/kotlin/org/buckthornhub/coordination/ReportTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/coordination/ReportTask.kt
@@ -83,9 +83,7 @@
         if (after.table !== before.table) logger.info { "route table ${after.table?.version} is in force, from control VM ${message.from}" }
         val ageMillis = message.news.ageMillis
         val isUnproven = ageMillis == null || ageMillis > STALE_MILLIS
-        if (isUnproven &&
-            failures == 0
-        ) {
+        if (isUnproven && failures == 0) {
             logger.warn { "control VM ${message.from} has heard no majority for $ageMillis ms; asking the next one" }
         }
         if (!isUnproven && failures > 0) logger.info { "control VM ${message.from} answers for a majority again, after $failures others" }
@@ -171,7 +169,7 @@
         /** An operation waits for tokens no longer than for a connection at the shortest objectives; in ms. */
         private const val DRAW_MILLIS = 40L
 
-        /** In ms. */
+        /** Between two questions while none is answered for a majority; in ms. */
         private const val RETRY_MILLIS = 100L
 
         /** A VM whose proof is older hears no majority any more, so another one is asked; an election takes as long. In ms. */
