--- a/cli/src/test/kotlin/org/buckthornhub/cli/explain/log/LogExplainerTest.kt
+++ b/cli/src/test/kotlin/org/buckthornhub/cli/explain/log/LogExplainerTest.kt
@@ -29,10 +29,8 @@
     fun `any bytes are read or skipped, and every line counts once`() {
         val random = Random(11)
         repeat(200) {
-            val noisy = texts.map { text ->
-                text.take(random.nextInt(text.length + 1)) +
-                    random.nextBytes(random.nextInt(4)).decodeToString()
-            }
+            val noisy = texts
+                .map { text -> text.take(random.nextInt(text.length + 1)) + random.nextBytes(random.nextInt(4)).decodeToString() }
                 .flatMap { it.lines() }
                 .filter { it.isNotBlank() }
             val read = LogFile.read(noisy.asSequence())
@@ -42,8 +40,8 @@
 
     private companion object {
         private fun failed(at: Long, vm: String, id: String, kind: String, detail: String) =
-            "$vm {\"timestamp\":$at,\"level\":\"WARN\",\"loggerName\":\"decisions\",\"kvpList\":[{\"request\":\"$id\"},{\"kind\":\"$kind\"}," +
-                "{\"detail\":\"$detail\"}],\"message\":\"request-failed\"}"
+            "$vm {\"timestamp\":$at,\"level\":\"WARN\",\"loggerName\":\"decisions\"," +
+                "\"kvpList\":[{\"request\":\"$id\"},{\"kind\":\"$kind\"},{\"detail\":\"$detail\"}],\"message\":\"request-failed\"}"
 
         private fun noted(at: Long, vm: String, message: String) =
             "$vm {\"timestamp\":$at,\"level\":\"INFO\",\"loggerName\":\"x\",\"message\":\"$message\"}"
