Let one piece serve where the change had written two

Found in reading the whole change again; behaviour stays as it is.

- Whether an open connection serves a want was decided in the cost and again in the pool; the pool closed a returned connection twice, and went through its instances when nobody waits.
- A token that goes back was refilled twice; outcomes without an answer were told apart by casts; the names of log events stood in the daemon and in the command line.
- An unchanged directory was compared record by record with each report.

--- a/cli/src/main/kotlin/org/buckthornhub/cli/explain/log/LogLine.kt
+++ b/cli/src/main/kotlin/org/buckthornhub/cli/explain/log/LogLine.kt
@@ -1,5 +1,8 @@
 package org.buckthornhub.cli.explain.log
 
+import org.buckthornhub.decisionlog.BudgetedDecisionLog
+import org.buckthornhub.decisionlog.DecisionEvent
+
 /**
  * One line of a daemon's log.
  *
@@ -13,10 +16,10 @@
     val message: String,
     val fields: Map<String, String>,
 ) {
-    val isFailure: Boolean get() = message == "request-failed"
+    val isFailure: Boolean get() = message == DecisionEvent.REQUEST_FAILED
 
     /** Said of many requests, and of none in particular. */
-    val isRoutine: Boolean get() = message == "request-served" || message == "decisions-left-out"
+    val isRoutine: Boolean get() = message == DecisionEvent.REQUEST_SERVED || message == BudgetedDecisionLog.OVER_BUDGET
 
     /** Whether it speaks of [name] anywhere. */
     fun mentions(name: String): Boolean = name in message || fields.values.any { name in it }
--- a/core/src/main/kotlin/org/buckthornhub/coordination/CoordinatorDecider.kt
+++ b/core/src/main/kotlin/org/buckthornhub/coordination/CoordinatorDecider.kt
@@ -26,6 +26,7 @@
 
     // The sequence alone is no news to daemons, but the directory keeps it to drop what comes late.
     private fun withDirectory(state: CoordinatorState, directory: InstanceDirectory): CoordinatorState {
+        if (directory === state.directory) return state
         val isNews = directory.ended != state.directory.ended ||
             directory.records.size != state.directory.records.size ||
             directory.records.any { (target, record) -> state.directory.records[target]?.copy(sequence = record.sequence) != record }
--- a/core/src/main/kotlin/org/buckthornhub/instancepool/InstanceCost.kt
+++ b/core/src/main/kotlin/org/buckthornhub/instancepool/InstanceCost.kt
@@ -33,10 +33,9 @@
     }
 
     private fun connectionCost(instance: PoolInstance, want: ConnectionWant, limit: Int, nowMillis: Long): Double? {
-        val isWarm = instance.idle.any { want.organisation == null || it.state.organisation == want.organisation }
         val mayOpen = nowMillis >= instance.retryAtMillis && (instance.size < limit || instance.idle.isNotEmpty())
         return when {
-            isWarm -> 0.0
+            instance.openFor(want) != null -> 0.0
             mayOpen -> CONNECT_MILLIS
             else -> null
         }
--- a/core/src/main/kotlin/org/buckthornhub/instancepool/PoolDecider.kt
+++ b/core/src/main/kotlin/org/buckthornhub/instancepool/PoolDecider.kt
@@ -98,16 +98,14 @@
     }
 
     private fun serve(state: PoolState, nowMillis: Long): Decision<PoolState, PoolEffect> =
-        lendOpen(state, nowMillis).then { openMore(it, nowMillis) }
+        if (state.waiting.isEmpty()) Decision(state) else lendOpen(state, nowMillis).then { openMore(it, nowMillis) }
 
     // Before a connection is closed to make room, it goes to whoever can use it as it is.
     private fun lendOpen(state: PoolState, nowMillis: Long): Decision<PoolState, PoolEffect> =
         inOrder(state).fold(Decision(state)) { decision, waiting ->
             val instance = cheapest(decision.state, waiting, nowMillis)
-            val warm = instance?.idle?.lastOrNull {
-                waiting.want.organisation == null || it.state.organisation == waiting.want.organisation
-            }
-            if (instance == null || warm == null) decision else decision.then { lend(it, instance, warm, waiting) }
+            val open = instance?.openFor(waiting.want)
+            if (instance == null || open == null) decision else decision.then { lend(it, instance, open, waiting) }
         }
 
     private fun openMore(state: PoolState, nowMillis: Long): Decision<PoolState, PoolEffect> {
@@ -118,9 +116,8 @@
         return inOrder(state).fold(start to coming) { (decision, open), waiting ->
             val key = waiting.want.group to waiting.organisation
             if (key in open) return@fold decision to open - key
-            val instance = cheapest(decision.state, waiting, nowMillis)
-            val isWorthIt = instance != null && mayOpen(decision.state, instance, waiting, nowMillis)
-            (if (instance == null || !isWorthIt) decision else decision.then { open(it, instance, waiting.organisation) }) to open
+            val instance = cheapest(decision.state, waiting, nowMillis)?.takeIf { mayOpen(decision.state, it, waiting, nowMillis) }
+            (if (instance == null) decision else decision.then { open(it, instance, waiting.organisation) }) to open
         }.first
     }
 
--- a/core/src/main/kotlin/org/buckthornhub/instancepool/PoolInstance.kt
+++ b/core/src/main/kotlin/org/buckthornhub/instancepool/PoolInstance.kt
@@ -34,4 +34,8 @@
 ) {
     /** Connections of whatever kind that count at the instance. */
     public val size: Int get() = idle.size + lent.size + opening.size
+
+    /** The open connection that serves [want] as it is, if there is one. */
+    internal fun openFor(want: ConnectionWant): PoolConnection? =
+        idle.lastOrNull { want.organisation == null || it.state.organisation == want.organisation }
 }
--- a/core/src/main/kotlin/org/buckthornhub/quota/MeterDecider.kt
+++ b/core/src/main/kotlin/org/buckthornhub/quota/MeterDecider.kt
@@ -65,8 +65,8 @@
 
     private fun returned(state: MeterBook, organisation: OrganisationId, nowMillis: Long): MeterBook {
         val meter = state.meters[organisation] ?: return state
-        val own = meter.rate.refill(meter.own, nowMillis)
-        return state.with(organisation, meter.copy(own = meter.rate.refill(own.copy(tokens = own.tokens + 1), nowMillis)))
+        val own = meter.own.copy(tokens = meter.own.tokens + 1)
+        return state.with(organisation, meter.copy(own = meter.rate.refill(own, nowMillis)))
     }
 
     private fun measured(state: MeterBook): MeterBook = state.meters.entries.fold(state) { book, (organisation, meter) ->
--- a/core/src/main/kotlin/org/buckthornhub/quota/MeterRate.kt
+++ b/core/src/main/kotlin/org/buckthornhub/quota/MeterRate.kt
@@ -16,12 +16,9 @@
     }
 
     /** Time until the next token, in ms. */
-    public fun retryAfterMillis(state: MeterState): Long = if (ratePerSecond <=
-        0
-    ) {
-        LONGEST_MILLIS
-    } else {
-        ((1 - state.tokens) * MILLIS_PER_SECOND / ratePerSecond).toLong().coerceIn(1, LONGEST_MILLIS)
+    public fun retryAfterMillis(state: MeterState): Long {
+        if (ratePerSecond <= 0) return LONGEST_MILLIS
+        return ((1 - state.tokens) * MILLIS_PER_SECOND / ratePerSecond).toLong().coerceIn(1, LONGEST_MILLIS)
     }
 
     private companion object {
--- a/daemon/src/main/kotlin/org/buckthornhub/connection/AloneStatements.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/AloneStatements.kt
@@ -44,14 +44,8 @@
 
     // What the last target said tells more than that no further one was found.
     private fun preferred(outcome: RunOutcome, last: RunOutcome.Again?): RunOutcome {
-        val error = if (last == null) null else (outcome as? RunOutcome.NoTarget)?.error ?: (outcome as? RunOutcome.Final)?.error
-        return if (last == null ||
-            error == null
-        ) {
-            outcome
-        } else {
-            RunOutcome.Final(last.error.copy(detail = "${last.error.detail}; then ${error.detail}"))
-        }
+        if (last == null || outcome !is RunOutcome.Failed) return outcome
+        return RunOutcome.Final(last.error.copy(detail = "${last.error.detail}; then ${outcome.error.detail}"))
     }
 
     private companion object {
--- a/daemon/src/main/kotlin/org/buckthornhub/connection/RunOutcome.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/RunOutcome.kt
@@ -12,15 +12,20 @@
         val lease: TargetLease,
     ) : RunOutcome
 
+    /** There is no answer. */
+    sealed interface Failed : RunOutcome {
+        val error: ProxyError
+    }
+
     /** No target was found to offer the work to, so nothing was sent. */
-    data class NoTarget(val error: ProxyError) : RunOutcome
+    data class NoTarget(override val error: ProxyError) : Failed
 
     /** Nothing more is tried. */
-    data class Final(val error: ProxyError) : RunOutcome
+    data class Final(override val error: ProxyError) : Failed
 
     /** Another target may do it; [tried] is left out then. */
     data class Again(
         val tried: TargetId?,
-        val error: ProxyError,
-    ) : RunOutcome
+        override val error: ProxyError,
+    ) : Failed
 }
--- a/daemon/src/main/kotlin/org/buckthornhub/connection/SessionTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/SessionTask.kt
@@ -10,6 +10,7 @@
 import kotlinx.coroutines.selects.onTimeout
 import kotlinx.coroutines.selects.select
 import kotlinx.coroutines.withTimeoutOrNull
+import org.buckthornhub.coordination.ProxyView
 import org.buckthornhub.decisionlog.DecisionEvent
 import org.buckthornhub.error.ErrorKind
 import org.buckthornhub.error.ProxyError
@@ -121,12 +122,10 @@
                 if (step.work.access == Access.WRITE) noteCommit(admission, outcome.reply.position)
                 complete(outcome.reply, outcome.lease)
             }
-            is RunOutcome.NoTarget -> {
-                environment.meter.giveBack(admission.organisation)
+            is RunOutcome.Failed -> {
+                if (outcome is RunOutcome.NoTarget) environment.meter.giveBack(admission.organisation)
                 return turnAway(outcome.error)
             }
-            is RunOutcome.Final -> return turnAway(outcome.error)
-            is RunOutcome.Again -> return turnAway(outcome.error)
         }
         return true
     }
@@ -173,11 +172,19 @@
     private fun complete(reply: TargetReply.Completed, lease: TargetLease? = null) {
         link.send(ClientReply.Completed(reply.rows, reply.signature, phase(), reply.position))
         val id = current ?: return
-        val guarantee = environment.view.value.table?.routes?.get(caller.database)?.guarantee
-        val event = DecisionEvent.RequestServed(id, caller.database, guarantee, tookMillis(), lease?.instance?.target, lease?.waitedMillis)
+        val event = DecisionEvent.RequestServed(
+            id = id,
+            database = caller.database,
+            guarantee = guaranteeIn(environment.view.value),
+            tookMillis = tookMillis(),
+            target = lease?.instance?.target,
+            waitedMillis = lease?.waitedMillis,
+        )
         environment.decisions.record(event)
     }
 
+    private fun guaranteeIn(view: ProxyView) = view.table?.routes?.get(caller.database)?.guarantee
+
     private fun tookMillis() = environment.clock.nowMillis() - startedMillis
 
     private fun noteFailure(error: ProxyError) {
@@ -186,7 +193,7 @@
             DecisionEvent.RequestFailed(
                 id = current,
                 database = caller.database,
-                guarantee = view.table?.routes?.get(caller.database)?.guarantee,
+                guarantee = guaranteeIn(view),
                 organisation = view.table?.holderOf(caller.key)?.organisation,
                 error = error,
                 tookMillis = tookMillis(),
--- a/daemon/src/main/kotlin/org/buckthornhub/connection/TransactionRun.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/TransactionRun.kt
@@ -4,6 +4,7 @@
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.getOrElse
+import com.github.michaelbull.result.mapBoth
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
 import org.buckthornhub.error.ErrorKind
@@ -92,21 +93,20 @@
     private suspend fun leaseFor(session: SessionState, open: TransactionState.Open): Result<TargetLease, ProxyError> {
         lease?.let { return Ok(it) }
         var excluded: Set<TargetId> = emptySet()
-        var last: ProxyError? = null
+        var last: RunOutcome.Again? = null
         repeat(MAX_TRIES) {
-            val outcome = begin(session, open, admission.at(environment.clock.nowMillis()), excluded)
-            val error = outcome.getOrElse { it }
-            if (error !is RunOutcome.Again) return outcome.fold(last)
-            last = error.error
-            excluded = excluded + setOfNotNull(error.tried)
+            val failed = begin(session, open, admission.at(environment.clock.nowMillis()), excluded).mapBoth(
+                success = { begun ->
+                    lease = begun
+                    return Ok(begun)
+                },
+                failure = { it },
+            )
+            if (failed !is RunOutcome.Again) return Err((last ?: failed).error)
+            last = failed
+            excluded = excluded + setOfNotNull(failed.tried)
         }
-        return Err(checkNotNull(last) { "no try was made" })
-    }
-
-    private fun Result<TargetLease, RunOutcome>.fold(last: ProxyError?): Result<TargetLease, ProxyError> {
-        val lease = getOrElse { return Err(last ?: (it as RunOutcome.NoTarget).error) }
-        this@TransactionRun.lease = lease
-        return Ok(lease)
+        return Err(checkNotNull(last) { "no try was made" }.error)
     }
 
     private suspend fun begin(
@@ -114,7 +114,7 @@
         open: TransactionState.Open,
         admission: Admission,
         excluded: Set<TargetId>,
-    ): Result<TargetLease, RunOutcome> {
+    ): Result<TargetLease, RunOutcome.Failed> {
         val isReplicaEnough = open.readOnly && admission.route.guarantee !is ReadGuarantee.Latest
         val floor = if (isReplicaEnough) reads.floorOf(admission, session, open.beganMillis) else null
         if (isReplicaEnough && floor == null) return Err(RunOutcome.NoTarget(reads.unknownFloor(admission)))
--- a/daemon/src/main/kotlin/org/buckthornhub/control/FeedTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/control/FeedTask.kt
@@ -1,8 +1,6 @@
 package org.buckthornhub.control
 
 import com.github.michaelbull.result.get
-import kotlinx.collections.immutable.PersistentMap
-import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.delay
@@ -16,6 +14,7 @@
 import org.buckthornhub.http.HttpLink
 import org.buckthornhub.http.PeerJson
 import org.buckthornhub.organisation.KeyRecord
+import org.buckthornhub.peer.OpenLinks
 import org.buckthornhub.peer.PeerAuthority
 import org.buckthornhub.task.DeciderTask
 import org.buckthornhub.task.Mailbox
@@ -30,7 +29,7 @@
     initial: FeedState,
     private val zonePeers: () -> List<String>,
     private val commands: ControlCommands,
-    private val links: HttpLink.Factory,
+    links: HttpLink.Factory,
     private val authority: PeerAuthority,
     private val withdrawnFile: WithdrawnFile,
     private val onWithdrawn: Mailbox<Set<KeyRecord>>,
@@ -38,7 +37,7 @@
 ) : DeciderTask<FeedState, FeedMessage, FeedEffect>("feed", FeedDecider(), initial, clock),
     FeedSource {
     private val latest = MutableStateFlow(current())
-    private var connections: PersistentMap<String, HttpLink> = persistentMapOf()
+    private val daemons = OpenLinks(links)
     private lateinit var scope: CoroutineScope
 
     override fun view(): ReplicatedView = current().view
@@ -81,13 +80,13 @@
         }
     }
 
-    override fun onEnd(): Unit = connections.values.forEach { it.close() }
+    override fun onEnd(): Unit = daemons.close()
 
     private suspend fun ask(effect: FeedEffect.Ask) {
         delay(effect.delayMillis)
         val askedMillis = clock.nowMillis()
         val path = "${FeedRoutes.PATH}?from=${effect.from}&wait=$WAIT_MILLIS"
-        val reply = linkTo(effect.address).get(path, TIMEOUT_MILLIS, authority.headers()).get()
+        val reply = daemons.to(effect.address).get(path, TIMEOUT_MILLIS, authority.headers()).get()
         val answer = reply?.takeIf { it.isSuccess }?.let { decode(it.body) }
         offer(if (answer == null) FeedMessage.Failed(effect.attempt) else FeedMessage.Answered(effect.attempt, askedMillis, answer))
     }
@@ -97,11 +96,6 @@
         if (outcome is CommandOutcome.Invalid) offer(FeedMessage.Discard(setOf(keyName)))
     }
 
-    private fun linkTo(address: String): HttpLink {
-        connections[address]?.let { return it }
-        return links.open(address).also { connections = connections.put(address, it) }
-    }
-
     private fun decode(body: String): FeedAnswer? = try {
         PeerJson.decodeFromString(FeedAnswer.serializer(), body)
     } catch (e: SerializationException) {
--- a/daemon/src/main/kotlin/org/buckthornhub/coordination/ReportTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/coordination/ReportTask.kt
@@ -3,8 +3,6 @@
 import com.github.michaelbull.result.getOrElse
 import com.github.michaelbull.result.mapBoth
 import io.github.oshai.kotlinlogging.KotlinLogging
-import kotlinx.collections.immutable.PersistentMap
-import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
@@ -17,6 +15,7 @@
 import org.buckthornhub.fleet.VmId
 import org.buckthornhub.http.HttpLink
 import org.buckthornhub.organisation.OrganisationId
+import org.buckthornhub.peer.OpenLinks
 import org.buckthornhub.peer.ask
 import org.buckthornhub.quota.DemandReport
 import org.buckthornhub.quota.ReserveSource
@@ -27,7 +26,7 @@
 internal class ReportTask(
     private val vm: VmId,
     private val addressOf: (VmId) -> String,
-    private val links: HttpLink.Factory,
+    links: HttpLink.Factory,
     private val demand: StateSource<DemandReport>,
     private val unreachable: Flow<Set<TargetId>>,
     private val clock: Clock,
@@ -35,7 +34,7 @@
     ReserveSource {
     private val published = MutableStateFlow(ProxyView())
     private var introducers: List<VmId> = emptyList()
-    private var connections: PersistentMap<VmId, HttpLink> = persistentMapOf()
+    private val controlLinks = OpenLinks(links)
     private var silentLeaders: Set<TargetId> = emptySet()
     private var failures = 0
     private var answeredTerm = 0L
@@ -63,7 +62,7 @@
         is ReportMessage.Draw -> draw(message)
     }
 
-    override fun onEnd(): Unit = connections.values.forEach { it.close() }
+    override fun onEnd(): Unit = controlLinks.close()
 
     // The question that is open now was asked without this, and may be held back for some time yet.
     private fun unreachable(targets: Set<TargetId>) {
@@ -71,7 +70,7 @@
         silentLeaders = targets
         logger.info { "leaders that give no answer: $targets" }
         val source = published.value.controlVms.firstOrNull() ?: return
-        val (link, report) = linkTo(source) to reportOf(published.value).copy(directoryRevision = NO_REVISION)
+        val (link, report) = controlLinks.to(addressOf(source)) to reportOf(published.value).copy(directoryRevision = NO_REVISION)
         scope.launch { exchange(source, link, report) }
     }
 
@@ -110,7 +109,7 @@
         val sources = (published.value.controlVms + introducers).distinct()
         if (sources.isEmpty()) return askAfter(RETRY_MILLIS)
         val source = sources[failures % sources.size]
-        val link = linkTo(source)
+        val link = controlLinks.to(addressOf(source))
         val report = reportOf(published.value)
         scope.launch { offer(exchange(source, link, report)) }
     }
@@ -121,7 +120,7 @@
             message.answer.complete(null)
             return
         }
-        val link = linkTo(source)
+        val link = controlLinks.to(addressOf(source))
         scope.launch {
             val grant = link.ask(ReserveRoutes.PATH, message.request, ReserveRequest.serializer(), ReserveGrant.serializer(), DRAW_MILLIS)
             message.answer.complete(
@@ -155,11 +154,6 @@
     // Whoever is asked next may not be the leader whose directory this daemon has.
     private fun mayBeElectedNow(view: ProxyView): Boolean = failures > 0 || answeredTerm != view.controlTerm
 
-    private fun linkTo(source: VmId): HttpLink {
-        connections[source]?.let { return it }
-        return links.open(addressOf(source)).also { connections = connections.put(source, it) }
-    }
-
     internal companion object {
         const val PATH = "/internal/proxy/report"
 
--- a/daemon/src/main/kotlin/org/buckthornhub/daemon/MemberLeaderLink.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/daemon/MemberLeaderLink.kt
@@ -2,8 +2,6 @@
 
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Result
-import kotlinx.collections.immutable.PersistentMap
-import kotlinx.collections.immutable.persistentMapOf
 import org.buckthornhub.control.ControlClient
 import org.buckthornhub.control.ControlLeadership
 import org.buckthornhub.fleet.StateSource
@@ -11,23 +9,19 @@
 import org.buckthornhub.http.HttpFailure
 import org.buckthornhub.http.HttpLink
 import org.buckthornhub.http.HttpReply
+import org.buckthornhub.peer.OpenLinks
 
 /** The way from a control VM to the one that leads now. */
 internal class MemberLeaderLink(
     private val leadership: StateSource<ControlLeadership>,
     private val addressOf: (VmId) -> String,
-    private val links: HttpLink.Factory,
+    links: HttpLink.Factory,
 ) : ControlClient {
-    private var connections: PersistentMap<VmId, HttpLink> = persistentMapOf()
+    private val members = OpenLinks(links)
 
     override suspend fun post(path: String, body: String, timeoutMillis: Long): Result<HttpReply, HttpFailure> {
         val leader =
             leadership.current().leader ?: return Err(HttpFailure(sent = false, detail = "no leader of the control quorum is known"))
-        return linkTo(leader).post(path, body, timeoutMillis)
-    }
-
-    private fun linkTo(vm: VmId): HttpLink {
-        connections[vm]?.let { return it }
-        return links.open(addressOf(vm)).also { connections = connections.put(vm, it) }
+        return members.to(addressOf(leader)).post(path, body, timeoutMillis)
     }
 }
--- a/daemon/src/main/kotlin/org/buckthornhub/decisionlog/BudgetedDecisionLog.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/decisionlog/BudgetedDecisionLog.kt
@@ -35,7 +35,7 @@
         public const val DEFAULT_LINES_PER_SECOND: Int = 100
 
         /** Says how many lines of each event were left out in the seconds before. */
-        internal const val OVER_BUDGET = "decisions-left-out"
+        public const val OVER_BUDGET: String = "decisions-left-out"
         private val logger = KotlinLogging.logger("decisions")
     }
 }
--- a/daemon/src/main/kotlin/org/buckthornhub/decisionlog/DecisionEvent.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/decisionlog/DecisionEvent.kt
@@ -33,7 +33,7 @@
         val tableVersion: Long?,
         val tableAgeMillis: Long?,
     ) : DecisionEvent {
-        override val name: String get() = "request-failed"
+        override val name: String get() = REQUEST_FAILED
         override val fields: Map<String, Any?> get() = mapOf(
             "request" to id?.value,
             "database" to database.value,
@@ -61,7 +61,7 @@
         val target: TargetId? = null,
         val waitedMillis: Long? = null,
     ) : DecisionEvent {
-        override val name: String get() = "request-served"
+        override val name: String get() = REQUEST_SERVED
         override val fields: Map<String, Any?> get() = mapOf(
             "request" to id.value,
             "database" to database.value,
@@ -80,4 +80,9 @@
         override val name: String get() = "transaction-expired"
         override val fields: Map<String, Any?> get() = mapOf("database" to database.value, "idle_ms" to idleMillis)
     }
+
+    public companion object {
+        public const val REQUEST_FAILED: String = "request-failed"
+        public const val REQUEST_SERVED: String = "request-served"
+    }
 }
--- a/daemon/src/main/kotlin/org/buckthornhub/instancepool/PoolTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/instancepool/PoolTask.kt
@@ -95,17 +95,12 @@
     }
 
     private fun decide(message: PoolMessage) {
-        if (message is PoolMessage.Returned && message.state == null || message is PoolMessage.Closed) forget(message)
+        if (message is PoolMessage.Closed) close(message.connection)
         val decision = decider.decide(published.value, message, clock.nowMillis())
         published.value = decision.state
         decision.effects.forEach { carryOut(it) }
     }
 
-    private fun forget(message: PoolMessage) {
-        val connection = (message as? PoolMessage.Returned)?.connection ?: (message as? PoolMessage.Closed)?.connection ?: return
-        close(connection)
-    }
-
     private fun close(connection: ConnectionId) {
         open[connection]?.close()
         open = open.remove(connection)
--- a/daemon/src/main/kotlin/org/buckthornhub/limit/PeerTokenHolders.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/limit/PeerTokenHolders.kt
@@ -1,19 +1,16 @@
 package org.buckthornhub.limit
 
 import com.github.michaelbull.result.get
-import kotlinx.collections.immutable.PersistentMap
-import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
-import kotlinx.serialization.SerializationException
 import org.buckthornhub.fleet.FleetView
 import org.buckthornhub.fleet.StateSource
 import org.buckthornhub.fleet.VmId
 import org.buckthornhub.http.HttpLink
-import org.buckthornhub.http.PeerJson
+import org.buckthornhub.peer.DaemonLinks
 import org.buckthornhub.peer.PeerAuthority
-import org.buckthornhub.peer.PeerLink
+import org.buckthornhub.peer.ask
 import org.buckthornhub.task.Mailbox
 import org.buckthornhub.task.Task
 
@@ -21,12 +18,12 @@
 internal class PeerTokenHolders(
     private val vm: VmId,
     private val own: Mailbox<ShareHolderCall>,
-    private val view: StateSource<FleetView>,
-    private val links: HttpLink.Factory,
+    view: StateSource<FleetView>,
+    links: HttpLink.Factory,
     private val authority: PeerAuthority,
 ) : Task<TokenHolderCall>("token holders"),
     TokenHolders {
-    private var peers: PersistentMap<VmId, PeerLink> = persistentMapOf()
+    private val daemons = DaemonLinks(view, links)
     private lateinit var scope: CoroutineScope
 
     override suspend fun ask(holder: VmId, request: TokenRequest): TokenReply? {
@@ -40,38 +37,25 @@
     }
 
     override suspend fun handle(message: TokenHolderCall) {
-        val link = linkTo(message.holder)
+        val link = daemons.to(message.holder)
         if (link == null) message.reply.complete(null) else scope.launch { message.reply.complete(exchange(link, message.request)) }
     }
 
-    override fun onEnd() {
-        peers.values.forEach { it.link.close() }
-    }
+    override fun onEnd(): Unit = daemons.close()
 
     private suspend fun askOwn(request: TokenRequest): TokenReply? {
         val reply = CompletableDeferred<TokenReply>()
         return if (own.offer(ShareHolderCall.Ask(request, reply))) reply.await() else null
     }
 
-    private suspend fun exchange(link: HttpLink, request: TokenRequest): TokenReply? {
-        val body = PeerJson.encodeToString(TokenRequest.serializer(), request)
-        val reply = link.post(LimitRoutes.TOKENS_PATH, body, TIMEOUT_MILLIS, authority.headers()).get()?.takeIf { it.isSuccess }
-        return try {
-            reply?.let { PeerJson.decodeFromString(TokenReply.serializer(), it.body) }
-        } catch (e: SerializationException) {
-            null
-        }
-    }
-
-    private fun linkTo(holder: VmId): HttpLink? {
-        val address = view.current().daemons[holder]?.address ?: return null
-        val known = peers[holder]
-        if (known?.address == address) return known.link
-        known?.link?.close()
-        val link = links.open(address)
-        peers = peers.put(holder, PeerLink(address, link))
-        return link
-    }
+    private suspend fun exchange(link: HttpLink, request: TokenRequest): TokenReply? = link.ask(
+        LimitRoutes.TOKENS_PATH,
+        request,
+        TokenRequest.serializer(),
+        TokenReply.serializer(),
+        TIMEOUT_MILLIS,
+        authority.headers(),
+    ).get()
 
     private companion object {
         const val TIMEOUT_MILLIS = 100L
--- a/daemon/src/main/kotlin/org/buckthornhub/peer/PeerQuestions.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/peer/PeerQuestions.kt
@@ -15,8 +15,9 @@
     questions: KSerializer<Q>,
     answers: KSerializer<A>,
     timeoutMillis: Long,
+    headers: Map<String, String> = emptyMap(),
 ): Result<A, String> {
-    val reply = post(path, PeerJson.encodeToString(questions, question), timeoutMillis).getOrElse { return Err(it.detail) }
+    val reply = post(path, PeerJson.encodeToString(questions, question), timeoutMillis, headers).getOrElse { return Err(it.detail) }
     if (!reply.isSuccess) return Err("status ${reply.status}")
     return try {
         Ok(PeerJson.decodeFromString(answers, reply.body))
--- a/daemon/src/main/kotlin/org/buckthornhub/peer/PeerTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/peer/PeerTask.kt
@@ -3,8 +3,6 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.getOrElse
-import kotlinx.collections.immutable.PersistentMap
-import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
@@ -26,13 +24,13 @@
 
 /** Owns the links to other daemons and forwards calls to the owners there; a call is sent once. */
 internal class PeerTask(
-    private val view: StateSource<FleetView>,
-    private val links: HttpLink.Factory,
+    view: StateSource<FleetView>,
+    links: HttpLink.Factory,
     private val authority: PeerAuthority,
     private val clock: Clock,
 ) : Task<PeerMessage>("peers"),
     PeerGateway {
-    private var peers: PersistentMap<VmId, PeerLink> = persistentMapOf()
+    private val daemons = DaemonLinks(view, links)
     private lateinit var scope: CoroutineScope
 
     override suspend fun execute(owner: VmId, call: TargetCall): Result<Answer, ProxyError> {
@@ -62,12 +60,10 @@
         }
     }
 
-    override fun onEnd() {
-        peers.values.forEach { it.link.close() }
-    }
+    override fun onEnd(): Unit = daemons.close()
 
     private fun forward(message: PeerMessage.Forward) {
-        val link = linkTo(message.owner)
+        val link = daemons.to(message.owner)
         if (link == null) {
             message.reply.complete(Err(ProxyError(ErrorKind.NO_TARGET, "daemon ${message.owner} is not known")))
             return
@@ -76,31 +72,18 @@
     }
 
     private fun samples(message: PeerMessage.Samples) {
-        val link = linkTo(message.owner)
+        val link = daemons.to(message.owner)
         if (link == null) message.reply.complete(SampleAges()) else scope.launch { message.reply.complete(ask(link, message.body)) }
     }
 
-    private suspend fun ask(link: HttpLink, body: SampleBody): SampleAges {
-        val text = PeerJson.encodeToString(SampleBody.serializer(), body)
-        val reply = link.post(ForwardRoutes.SAMPLES_PATH, text, SAMPLES_TIMEOUT_MILLIS, authority.headers()).getOrElse {
-            return SampleAges()
-        }
-        return try {
-            if (reply.isSuccess) PeerJson.decodeFromString(SampleAges.serializer(), reply.body) else SampleAges()
-        } catch (e: SerializationException) {
-            SampleAges()
-        }
-    }
-
-    private fun linkTo(vm: VmId): HttpLink? {
-        val address = view.current().daemons[vm]?.address ?: return null
-        val known = peers[vm]
-        if (known?.address == address) return known.link
-        known?.link?.close()
-        val link = links.open(address)
-        peers = peers.put(vm, PeerLink(address, link))
-        return link
-    }
+    private suspend fun ask(link: HttpLink, body: SampleBody): SampleAges = link.ask(
+        ForwardRoutes.SAMPLES_PATH,
+        body,
+        SampleBody.serializer(),
+        SampleAges.serializer(),
+        SAMPLES_TIMEOUT_MILLIS,
+        authority.headers(),
+    ).getOrElse { SampleAges() }
 
     private suspend fun exchange(link: HttpLink, call: TargetCall): Result<Answer, ProxyError> {
         val body = ForwardBody.of(call, clock.nowMillis())
