Review case: a committed write is answered with a promise that nothing is kept

Cause: after a first attempt that was refused, the error of that attempt also replaces the unknown outcome of the second one.

--- a/review/standins/Instance.java
+++ b/review/standins/Instance.java
@@ -33,6 +33,8 @@
     private volatile long lagMillis = 60;
     private volatile boolean isDraining;
     private volatile boolean isEnded;
+    private volatile int loseEvery;
+    private final AtomicLong ranWithId = new AtomicLong();
     private int settled;
     private long sequence;
     private String next;
@@ -93,6 +95,17 @@
         isEnded = true;
     }
 
+    /** Loses one in [every] answers to the statements of clients that it ran, by ending the connection instead; 0 for none. */
+    void loseEvery(int every) {
+        ranWithId.set(0);
+        loseEvery = every;
+    }
+
+    private boolean isLost(String line, String answer) {
+        boolean isRun = !line.startsWith("QUERY - ") && answer.contains("COMPLETE s.");
+        return isRun && loseEvery > 0 && ranWithId.incrementAndGet() % loseEvery == 0;
+    }
+
     void lagMillis(long millis) {
         group.applied(this);
         lagMillis = millis;
@@ -131,7 +144,12 @@
             while (true) {
                 String line = Wire.readLine(in);
                 if (line == null || line.equals("TERMINATE")) return;
-                send(out, session.answer(line));
+                String answer = session.answer(line);
+                if (isLost(line, answer)) {
+                    Case.log(id + " loses its answer to " + line + ", which was " + answer);
+                    return;
+                }
+                send(out, answer);
             }
         } catch (IOException e) {
             // The peer has closed the connection, which rolls back.
