--- a/review/standins/MovedKey.java
+++ b/review/standins/MovedKey.java
@@ -26,6 +26,8 @@
         awaitReady();
         Thread.sleep(1_500);
         boolean isHeld = true;
+        warmUp("primary-svc0", "keyOfB");
+        warmUp("primary-svc0", "moved");
         try (Wire session = open(0, "primary-svc0", "moved")) {
             log("client: BEGIN is answered with " + session.query("BEGIN").summary());
             log("client: READ is answered with " + session.query("READ item").summary());
--- a/review/standins/Smuggle.java
+++ b/review/standins/Smuggle.java
@@ -16,10 +16,10 @@
         configure(configuration(1, keys));
         awaitReady();
         Thread.sleep(1_500);
+        warmUp("primary-svc0", "keyOfA");
         String separator = hasTrouble ? "\n" : " ";
         String inner = "QUERY 00000000000000ff WRITE other gift";
         try (Wire session = open(0, "primary-svc0", "keyOfA")) {
-            log("client: " + session.query("WRITE plain data").summary());
             Wire.Answer answer = session.query("WRITE note first" + separator + inner);
             log("client: " + answer.id() + " WRITE note first" + separator + inner + " is answered with " + answer.summary());
             Thread.sleep(1_000);
--- a/review/standins/Wire.java
+++ b/review/standins/Wire.java
@@ -48,6 +48,12 @@
     Answer query(String text) {
         String id = newId();
         SENT.put(id, text);
+        Answer answer = exchange(id, text);
+        Case.log(Case.seconds(answer.sentNanos()), "sent: " + id + " " + text + " -> " + answer.summary());
+        return answer;
+    }
+
+    private Answer exchange(String id, String text) {
         long sentNanos = System.nanoTime();
         List<String> lines = new ArrayList<>();
         try {
