Tests: generate inputs with kotest instead of jqwik

Cause: at each run jqwik prints a text to automated readers that tells them to disregard its results. Test output has to be readable as it is.

Ruled out: seeded tables of our own for the five files, as they would print the seed of a failure only with code of their own; an older jqwik, as the text would come back with the next update.

With an assertion made false on a scratch copy the output ends with the failing input and "Repeat this test by using seed 41".

Conclusion: as strict as before, and quiet.

--- a/core/src/test/kotlin/org/buckthornhub/promotion/LeaseSimulationTest.kt
+++ b/core/src/test/kotlin/org/buckthornhub/promotion/LeaseSimulationTest.kt
@@ -1,18 +1,23 @@
 package org.buckthornhub.promotion
 
-import net.jqwik.api.ForAll
-import net.jqwik.api.Property
+import io.kotest.property.Arb
+import io.kotest.property.PropTestConfig
+import io.kotest.property.arbitrary.long
+import io.kotest.property.checkAll
+import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 
 /** Random schedules of leases and promotions: at most one daemon has a valid lease at any time, and no write is lost. */
 internal class LeaseSimulationTest {
-    @Property(tries = 500, seed = "20261204")
-    fun `at most one daemon has a valid lease, in the committed term`(@ForAll seed: Long) {
-        val result = LeaseSimulation(seed).run(faultPhaseMillis = 12_000, recoveryPhaseMillis = 9_000)
-        assertEquals(emptyList(), result.violations, "seed $seed")
-        assertTrue(result.isHeldAtEnd, "seed $seed: no daemon holds the lease after the faults have ended")
+    @Test
+    fun `at most one daemon has a valid lease, in the committed term`(): Unit = runBlocking {
+        checkAll(PropTestConfig(seed = 20_261_204, iterations = 500), Arb.long()) { seed ->
+            val result = LeaseSimulation(seed).run(faultPhaseMillis = 12_000, recoveryPhaseMillis = 9_000)
+            assertEquals(emptyList(), result.violations, "seed $seed")
+            assertTrue(result.isHeldAtEnd, "seed $seed: no daemon holds the lease after the faults have ended")
+        }
     }
 
     @Test
