Log each attempt of a failed statement, and count attempts by outcome

When a caller was told BUSY and the write was there, no log line or metric told whether the daemon had sent it, to which instances, or what these answered: the line of a failed request has one error, and buckthornhub_statements_total one kind.

request-failed and request-served now carry the attempts that failed: the instance, the kind of failure, whether the statement may have taken effect there, and how long it took. buckthornhub_failed_attempts_total counts them; buckthornhub_failed_statements_total counts failed statements by what the caller was told and what the attempts met, so a promise after an attempt that may have run is a series that must stay at zero. What callers get does not change.

LogBudgetTest covers the budget, the field and the series.

--- a/daemon/src/main/kotlin/org/buckthornhub/connection/PrimaryStatementRunner.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/PrimaryStatementRunner.kt
@@ -40,15 +40,15 @@
         val sentMillis = environment.clock.nowMillis()
         val reply = lease.prepareAndRun(work, id, session, floor = null, admission.route.statementTimeoutMillis).getOrElse { failure ->
             lease.release()
-            if (!failure.mayHaveRun) return RunOutcome.Retry(lease.instance.target, notRun(lease, failure))
-            return RunOutcome.Final(ProxyError(ErrorKind.OUTCOME_UNKNOWN, "${lease.instance.target} gave no answer: ${failure.detail}"))
+            if (!failure.mayHaveRun) return RunOutcome.Retry(notRun(lease, failure), isTargetAvoided = true)
+            return RunOutcome.Final(inDoubt(lease, "gave no answer: ${failure.detail}"))
         }
         lease.release()
         return when (reply) {
             is TargetReply.Completed -> if (observe(admission, lease, sentMillis, reply)) {
                 RunOutcome.Done(reply, lease)
             } else {
-                RunOutcome.Final(ProxyError(ErrorKind.OUTCOME_UNKNOWN, "${lease.instance.target} may have been replaced first"))
+                RunOutcome.Final(inDoubt(lease, "may have been replaced first"))
             }
             is TargetReply.Refused -> outcomeOf(lease.instance.target, reply)
         }
@@ -57,10 +57,11 @@
     /** Maps a refusal of the primary to an outcome, and demotes an instance that is no longer primary. */
     fun outcomeOf(target: TargetId, reply: TargetReply.Refused): RunOutcome {
         if (reply.refusal == TargetRefusal.NOT_LEADING) environment.pool.demote(target)
-        val error = TargetErrors.of(target, reply)
+        val failure = TargetErrors.refused(target, reply)
         return when (reply.refusal) {
-            TargetRefusal.NOT_LEADING, TargetRefusal.PREPARED_UNKNOWN, TargetRefusal.OTHER_INSTANCE -> RunOutcome.Retry(null, error)
-            else -> RunOutcome.Final(error)
+            TargetRefusal.NOT_LEADING, TargetRefusal.PREPARED_UNKNOWN, TargetRefusal.OTHER_INSTANCE ->
+                RunOutcome.Retry(failure, isTargetAvoided = false)
+            else -> RunOutcome.Final(failure)
         }
     }
 
@@ -92,11 +93,19 @@
 
     private fun answerLost(lease: TargetLease, failure: TargetLinkFailure): RunOutcome {
         lease.release()
-        return RunOutcome.Retry(null, ProxyError(ErrorKind.ANSWER_LOST, "${lease.instance.target} gave no answer: ${failure.detail}"))
+        return RunOutcome.Retry(TargetErrors.readLost(lease.instance.target, failure), isTargetAvoided = false)
     }
 
-    private fun notRun(lease: TargetLease, failure: TargetLinkFailure) =
-        ProxyError(ErrorKind.NO_TARGET, "${lease.instance.target} was lost before the statement was sent: ${failure.detail}")
+    private fun notRun(lease: TargetLease, failure: TargetLinkFailure): AttemptFailure {
+        val target = lease.instance.target
+        val error = ProxyError(ErrorKind.NO_TARGET, "$target was lost before the statement was sent: ${failure.detail}")
+        return AttemptFailure(target, error, mayHaveRun = false)
+    }
+
+    private fun inDoubt(lease: TargetLease, detail: String): AttemptFailure {
+        val target = lease.instance.target
+        return AttemptFailure(target, ProxyError(ErrorKind.OUTCOME_UNKNOWN, "$target $detail"), mayHaveRun = true)
+    }
 
     private suspend fun rollBack(lease: TargetLease, timeoutMillis: Long) {
         lease.run(TargetStatement.RollBack, timeoutMillis)
--- a/daemon/src/main/kotlin/org/buckthornhub/connection/ReadRunner.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/ReadRunner.kt
@@ -27,7 +27,7 @@
         val target = lease.instance.target
         val reply = lease.prepareAndRun(work, id, session, floor, admission.attemptMillis).getOrElse { failure ->
             lease.release()
-            return RunOutcome.Retry(target, ProxyError(ErrorKind.ANSWER_LOST, "$target gave no answer: ${failure.detail}"))
+            return RunOutcome.Retry(TargetErrors.readLost(target, failure), isTargetAvoided = true)
         }
         lease.release()
         return when (reply) {
@@ -68,8 +68,8 @@
         ProxyError(ErrorKind.NO_PRIMARY, "the primary of group ${admission.route.group} has not reported its commit position recently")
 
     private fun outcomeOf(target: TargetId, reply: TargetReply.Refused): RunOutcome {
-        val error = TargetErrors.of(target, reply)
+        val failure = TargetErrors.refused(target, reply)
         val isFinal = reply.refusal == TargetRefusal.MALFORMED || reply.refusal == TargetRefusal.TIMED_OUT
-        return if (isFinal) RunOutcome.Final(error) else RunOutcome.Retry(target, error)
+        return if (isFinal) RunOutcome.Final(failure) else RunOutcome.Retry(failure, isTargetAvoided = true)
     }
 }
--- a/daemon/src/main/kotlin/org/buckthornhub/connection/RunOutcome.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/RunOutcome.kt
@@ -2,7 +2,6 @@
 
 import org.buckthornhub.error.ProxyError
 import org.buckthornhub.instancepool.TargetLease
-import org.buckthornhub.target.TargetId
 
 /** Outcome of sending a statement to one target. */
 internal sealed interface RunOutcome {
@@ -14,18 +13,21 @@
 
     /** The target gave no answer, or refused the statement. */
     sealed interface Failed : RunOutcome {
-        val error: ProxyError
+        val failure: AttemptFailure
+        val error: ProxyError get() = failure.error
     }
 
     /** No connection could be acquired, so nothing was sent. */
-    data class NoTarget(override val error: ProxyError) : Failed
+    data class NoTarget(override val failure: AttemptFailure) : Failed {
+        constructor(error: ProxyError) : this(AttemptFailure(target = null, error, mayHaveRun = false))
+    }
 
     /** Failed without a further attempt. */
-    data class Final(override val error: ProxyError) : Failed
+    data class Final(override val failure: AttemptFailure) : Failed
 
-    /** May be retried; [tried] is excluded from the next attempt. */
+    /** May be retried. @property isTargetAvoided whether the next attempt excludes the target */
     data class Retry(
-        val tried: TargetId?,
-        override val error: ProxyError,
+        override val failure: AttemptFailure,
+        val isTargetAvoided: Boolean,
     ) : Failed
 }
--- a/daemon/src/main/kotlin/org/buckthornhub/connection/SessionTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/SessionTask.kt
@@ -3,6 +3,7 @@
 import com.github.michaelbull.result.getOrElse
 import com.github.michaelbull.result.mapBoth
 import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.collections.immutable.persistentListOf
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
@@ -19,7 +20,6 @@
 import org.buckthornhub.error.ErrorKind
 import org.buckthornhub.error.ProxyError
 import org.buckthornhub.group.Position
-import org.buckthornhub.instancepool.TargetLease
 import org.buckthornhub.organisation.KeyDigest
 import org.buckthornhub.statement.Access
 import org.buckthornhub.statement.RequestId
@@ -111,7 +111,7 @@
         startedMillis = environment.clock.nowMillis()
         when (val step = SessionRules.next(session, request.statement, environment.clock.nowMillis())) {
             is SessionStep.Acknowledge -> acknowledge(step.state)
-            is SessionStep.Refuse -> refuse(ProxyError(step.kind, step.detail), step.state)
+            is SessionStep.Refuse -> refuse(StatementFailure(ProxyError(step.kind, step.detail)), step.state)
             is SessionStep.BeginTransaction -> return begin(step)
             is SessionStep.RunOutsideTransaction -> return runOutsideTransaction(request, step)
             is SessionStep.RunInTransaction -> return runInTransaction(request, step)
@@ -126,24 +126,20 @@
     }
 
     private suspend fun begin(step: SessionStep.BeginTransaction): Boolean {
-        val admission = gate.admit(caller).getOrElse { return refuseOperation(it) }
+        val admission = gate.admit(caller).getOrElse { return refuseOperation(StatementFailure(it)) }
         transaction = TransactionRunner(environment, scope, admission)
         acknowledge(step.state)
         return true
     }
 
     private suspend fun runOutsideTransaction(request: ClientRequest.Query, step: SessionStep.RunOutsideTransaction): Boolean {
-        val admission = gate.admit(caller).getOrElse { return refuseOperation(it) }
-        when (val outcome = statementRunner.run(scope, step.work, request.id, session, admission)) {
-            is RunOutcome.Done -> {
-                if (step.work.access == Access.WRITE) recordCommit(admission, outcome.reply.position)
-                complete(outcome.reply, outcome.lease)
-            }
-            is RunOutcome.Failed -> {
-                if (outcome is RunOutcome.NoTarget) environment.rateLimiter.refund(admission.organisation)
-                return refuseOperation(outcome.error)
-            }
+        val admission = gate.admit(caller).getOrElse { return refuseOperation(StatementFailure(it)) }
+        val served = statementRunner.run(scope, step.work, request.id, session, admission).getOrElse { failure ->
+            if (failure.attempts.all { it.target == null }) environment.rateLimiter.refund(admission.organisation)
+            return refuseOperation(failure)
         }
+        if (step.work.access == Access.WRITE) recordCommit(admission, served.outcome.reply.position)
+        complete(served.outcome.reply, served)
         return true
     }
 
@@ -186,7 +182,7 @@
         link.send(ClientReply.Completed(emptyList(), signature = null, phase(), position = null))
     }
 
-    private fun complete(reply: TargetReply.Completed, lease: TargetLease? = null) {
+    private fun complete(reply: TargetReply.Completed, served: ServedStatement? = null) {
         link.send(ClientReply.Completed(reply.rows, reply.signature, phase(), reply.position))
         val id = current ?: return
         val event = DecisionEvent.RequestServed(
@@ -194,8 +190,9 @@
             database = caller.database,
             guarantee = guaranteeIn(environment.view.value),
             tookMillis = elapsedMillis(),
-            target = lease?.instance?.target,
-            waitedMillis = lease?.waitedMillis,
+            target = served?.outcome?.lease?.instance?.target,
+            waitedMillis = served?.outcome?.lease?.waitedMillis,
+            attempts = served?.failedAttempts ?: persistentListOf(),
         )
         environment.decisions.record(event)
     }
@@ -204,7 +201,7 @@
 
     private fun elapsedMillis() = environment.clock.nowMillis() - startedMillis
 
-    private fun recordFailure(error: ProxyError) {
+    private fun recordFailure(failure: StatementFailure) {
         val view = environment.view.value
         environment.decisions.record(
             DecisionEvent.RequestFailed(
@@ -212,31 +209,34 @@
                 database = caller.database,
                 guarantee = guaranteeIn(view),
                 organisation = view.table?.holderOf(caller.key)?.organisation,
-                error = error,
+                error = failure.error,
                 tookMillis = elapsedMillis(),
                 tableVersion = view.table?.version,
                 tableAgeMillis = view.ageMillis(environment.clock),
+                attempts = failure.attempts,
             ),
         )
     }
 
-    private fun refuse(error: ProxyError, state: SessionState) {
+    private fun refuse(failure: StatementFailure, state: SessionState) {
         session = state
-        link.send(ClientReply.Failed(error, phase()))
-        recordFailure(error)
+        link.send(ClientReply.Failed(failure.error, phase()))
+        recordFailure(failure)
     }
 
-    private fun failTransaction(error: ProxyError): Boolean {
+    private fun failTransaction(error: ProxyError): Boolean = failTransaction(StatementFailure(error))
+
+    private fun failTransaction(failure: StatementFailure): Boolean {
         transaction?.rollBack()
         transaction = null
-        refuse(error, session.copy(transaction = TransactionState.Failed))
+        refuse(failure, session.copy(transaction = TransactionState.Failed))
         return true
     }
 
     // Closes the connection if its database or key no longer exists, or if another daemon may have a better connection to the fleet.
-    private fun refuseOperation(error: ProxyError): Boolean {
-        refuse(error, session)
-        return error.kind !in CLOSING_KINDS && !environment.isCutOff()
+    private fun refuseOperation(failure: StatementFailure): Boolean {
+        refuse(failure, session)
+        return failure.error.kind !in CLOSING_KINDS && !environment.isCutOff()
     }
 
     private fun end(error: ProxyError): Boolean {
--- a/daemon/src/main/kotlin/org/buckthornhub/connection/SingleStatementRunner.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/SingleStatementRunner.kt
@@ -1,6 +1,11 @@
 package org.buckthornhub.connection
 
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import kotlinx.collections.immutable.persistentListOf
 import kotlinx.coroutines.CoroutineScope
+import org.buckthornhub.error.ProxyError
 import org.buckthornhub.routetable.ReadGuarantee
 import org.buckthornhub.statement.Access
 import org.buckthornhub.statement.RequestId
@@ -11,21 +16,34 @@
     private val primaryRunner = PrimaryStatementRunner(environment)
     private val readRunner = ReadRunner(environment)
 
-    suspend fun run(scope: CoroutineScope, work: DataStatement, id: RequestId, session: SessionState, admission: Admission): RunOutcome {
+    suspend fun run(
+        scope: CoroutineScope,
+        work: DataStatement,
+        id: RequestId,
+        session: SessionState,
+        admission: Admission,
+    ): Result<ServedStatement, StatementFailure> {
         val receivedMillis = environment.clock.nowMillis()
         var excluded: Set<TargetId> = emptySet()
         var last: RunOutcome.Retry? = null
+        var attempts = persistentListOf<AttemptFailure>()
         var current = admission
         // A statement is retried only if nothing has run or repeating it is safe; the bound prevents an endless loop.
         repeat(MAX_ATTEMPTS) {
+            val startedMillis = environment.clock.nowMillis()
             val outcome = attempt(scope, work, id, session, current, receivedMillis, excluded)
-            if (outcome !is RunOutcome.Retry) return preferred(outcome, last)
-            last = outcome
-            excluded = excluded + setOfNotNull(outcome.tried)
+            if (outcome is RunOutcome.Done) return Ok(ServedStatement(outcome, attempts))
+            val failed = outcome as RunOutcome.Failed
+            attempts = attempts.add(failed.failure.copy(tookMillis = environment.clock.nowMillis() - startedMillis))
+            if (failed !is RunOutcome.Retry) return Err(StatementFailure(preferred(failed, last), attempts))
+            last = failed
+            if (failed.isTargetAvoided) excluded = excluded + setOfNotNull(failed.failure.target)
             current = admission.at(environment.clock.nowMillis())
-            if (current.receivedMillis - receivedMillis >= admission.route.statementTimeoutMillis) return RunOutcome.Final(outcome.error)
+            if (current.receivedMillis - receivedMillis >= admission.route.statementTimeoutMillis) {
+                return Err(StatementFailure(failed.error, attempts))
+            }
         }
-        return RunOutcome.Final(checkNotNull(last) { "no attempt was made" }.error)
+        return Err(StatementFailure(checkNotNull(last) { "no attempt was made" }.error, attempts))
     }
 
     private suspend fun attempt(
@@ -43,9 +61,9 @@
     }
 
     // The error of the last attempt says more than the error that no further target was found.
-    private fun preferred(outcome: RunOutcome, last: RunOutcome.Retry?): RunOutcome {
-        if (last == null || outcome !is RunOutcome.Failed) return outcome
-        return RunOutcome.Final(last.error.copy(detail = "${last.error.detail}; then ${outcome.error.detail}"))
+    private fun preferred(outcome: RunOutcome.Failed, last: RunOutcome.Retry?): ProxyError {
+        if (last == null) return outcome.error
+        return last.error.copy(detail = "${last.error.detail}; then ${outcome.error.detail}")
     }
 
     private companion object {
--- a/daemon/src/main/kotlin/org/buckthornhub/connection/TargetErrors.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/TargetErrors.kt
@@ -4,8 +4,18 @@
 import org.buckthornhub.error.ProxyError
 import org.buckthornhub.target.TargetId
 
-/** Maps refusals of targets to errors for callers. */
+/** Maps refusals of targets, and missing answers, to errors for callers. */
 internal object TargetErrors {
+    /** Failure of an attempt that [target] refused. */
+    fun refused(target: TargetId, reply: TargetReply.Refused): AttemptFailure =
+        AttemptFailure(target, of(target, reply), reply.refusal.mayHaveRun)
+
+    /** Failure of a read that [target] did not answer. */
+    fun readLost(target: TargetId, failure: TargetLinkFailure): AttemptFailure {
+        val error = ProxyError(ErrorKind.ANSWER_LOST, "$target gave no answer: ${failure.detail}")
+        return AttemptFailure(target, error, failure.mayHaveRun)
+    }
+
     fun of(target: TargetId, refused: TargetReply.Refused): ProxyError {
         val kind = when (refused.refusal) {
             TargetRefusal.BUSY, TargetRefusal.TOO_MANY_CONNECTIONS -> ErrorKind.QUEUE_FULL
--- a/daemon/src/main/kotlin/org/buckthornhub/connection/TransactionRunner.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/TransactionRunner.kt
@@ -6,6 +6,7 @@
 import com.github.michaelbull.result.getOrElse
 import com.github.michaelbull.result.mapBoth
 import com.github.michaelbull.result.mapError
+import kotlinx.collections.immutable.persistentListOf
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
 import org.buckthornhub.error.ErrorKind
@@ -38,25 +39,30 @@
         id: RequestId,
         session: SessionState,
         open: TransactionState.Open,
-    ): Result<TargetReply.Completed, ProxyError> {
+    ): Result<TargetReply.Completed, StatementFailure> {
         val lease = leaseFor(session, open).getOrElse { return Err(it) }
         val sentMillis = environment.clock.nowMillis()
-        val reply = lease.prepareAndRun(work, id, session, floor = null, timeoutMillis).getOrElse { return Err(aborted(lease, it)) }
-        return settle(lease, reply, sentMillis)
+        val reply = lease.prepareAndRun(work, id, session, floor = null, timeoutMillis)
+            .getOrElse { return Err(failureOf(lease, aborted(lease, it), sentMillis, mayHaveRun = false)) }
+        // A statement takes effect with the commit only.
+        return settle(lease, reply, sentMillis).mapError { failureOf(lease, it, sentMillis, mayHaveRun = false) }
     }
 
     /** Commits. Fails with `OUTCOME_UNKNOWN` if the commit may have taken effect; on any other error the transaction is rolled back. */
-    suspend fun commit(id: RequestId, session: SessionState, open: TransactionState.Open): Result<TargetReply.Completed, ProxyError> {
+    suspend fun commit(id: RequestId, session: SessionState, open: TransactionState.Open): Result<TargetReply.Completed, StatementFailure> {
         val lease = leaseFor(session, open).getOrElse { return Err(it) }
         val sentMillis = environment.clock.nowMillis()
         val reply = lease.run(TargetStatement.Commit(id), timeoutMillis).getOrElse { failure ->
             val error = aborted(lease, failure)
-            return Err(if (open.hasWritten && failure.mayHaveRun) error.copy(kind = ErrorKind.OUTCOME_UNKNOWN) else error)
+            val mayHaveRun = open.hasWritten && failure.mayHaveRun
+            val found = if (mayHaveRun) error.copy(kind = ErrorKind.OUTCOME_UNKNOWN) else error
+            return Err(failureOf(lease, found, sentMillis, mayHaveRun))
         }
         if (reply is TargetReply.Completed) release(lease)
         return settle(lease, reply, sentMillis).mapError { error ->
             val isReplaced = reply is TargetReply.Completed && open.hasWritten
-            if (isReplaced) error.copy(kind = ErrorKind.OUTCOME_UNKNOWN) else error
+            val mayHaveRun = isReplaced || (reply as? TargetReply.Refused)?.refusal?.mayHaveRun == true
+            failureOf(lease, if (isReplaced) error.copy(kind = ErrorKind.OUTCOME_UNKNOWN) else error, sentMillis, mayHaveRun)
         }
     }
 
@@ -98,11 +104,18 @@
         return ProxyError(ErrorKind.TRANSACTION_ABORTED, "${lease.instance.target} was lost in a transaction: ${failure.detail}")
     }
 
-    private suspend fun leaseFor(session: SessionState, open: TransactionState.Open): Result<TargetLease, ProxyError> {
+    private fun failureOf(lease: TargetLease, error: ProxyError, sentMillis: Long, mayHaveRun: Boolean): StatementFailure {
+        val tookMillis = environment.clock.nowMillis() - sentMillis
+        return StatementFailure(error, persistentListOf(AttemptFailure(lease.instance.target, error, mayHaveRun, tookMillis)))
+    }
+
+    private suspend fun leaseFor(session: SessionState, open: TransactionState.Open): Result<TargetLease, StatementFailure> {
         lease?.let { return Ok(it) }
         var excluded: Set<TargetId> = emptySet()
         var last: RunOutcome.Retry? = null
+        var attempts = persistentListOf<AttemptFailure>()
         repeat(MAX_ATTEMPTS) {
+            val startedMillis = environment.clock.nowMillis()
             val failed = begin(session, open, admission.at(environment.clock.nowMillis()), excluded).mapBoth(
                 success = { begun ->
                     lease = begun
@@ -110,11 +123,12 @@
                 },
                 failure = { it },
             )
-            if (failed !is RunOutcome.Retry) return Err((last ?: failed).error)
+            attempts = attempts.add(failed.failure.copy(tookMillis = environment.clock.nowMillis() - startedMillis))
+            if (failed !is RunOutcome.Retry) return Err(StatementFailure((last ?: failed).error, attempts))
             last = failed
-            excluded = excluded + setOfNotNull(failed.tried)
+            excluded = excluded + setOfNotNull(failed.failure.target)
         }
-        return Err(checkNotNull(last) { "no attempt was made" }.error)
+        return Err(StatementFailure(checkNotNull(last) { "no attempt was made" }.error, attempts))
     }
 
     private suspend fun begin(
@@ -133,12 +147,13 @@
         val sentMillis = environment.clock.nowMillis()
         val reply = lease.run(TargetStatement.Begin(readOnly = floor != null, floor), admission.attemptMillis).getOrElse {
             lease.release()
-            return Err(RunOutcome.Retry(target, ProxyError(ErrorKind.NO_TARGET, "$target did not begin a transaction: ${it.detail}")))
+            val error = ProxyError(ErrorKind.NO_TARGET, "$target did not begin a transaction: ${it.detail}")
+            return Err(RunOutcome.Retry(AttemptFailure(target, error, mayHaveRun = false), isTargetAvoided = true))
         }
         if (reply is TargetReply.Refused) {
             lease.release()
             if (reply.refusal == TargetRefusal.NOT_LEADING) environment.pool.demote(target)
-            return Err(RunOutcome.Retry(target, TargetErrors.of(target, reply)))
+            return Err(RunOutcome.Retry(AttemptFailure(target, TargetErrors.of(target, reply), mayHaveRun = false), isTargetAvoided = true))
         }
         isOnPrimary = floor == null
         if (isOnPrimary) primaryRunner.observe(admission, lease, sentMillis, reply)
--- a/daemon/src/main/kotlin/org/buckthornhub/decisionlog/DecisionEvent.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/decisionlog/DecisionEvent.kt
@@ -1,5 +1,8 @@
 package org.buckthornhub.decisionlog
 
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
+import org.buckthornhub.connection.AttemptFailure
 import org.buckthornhub.error.ProxyError
 import org.buckthornhub.organisation.OrganisationId
 import org.buckthornhub.routetable.DatabaseName
@@ -17,6 +20,9 @@
     /** True for events of normal operation, which are dropped first under load. */
     public val isRoutine: Boolean get() = false
 
+    /** Attempts to run the statement that failed, in order. */
+    public val attempts: List<AttemptFailure> get() = emptyList()
+
     /**
      * A statement failed or was refused.
      *
@@ -32,6 +38,7 @@
         val tookMillis: Long,
         val tableVersion: Long?,
         val tableAgeMillis: Long?,
+        override val attempts: PersistentList<AttemptFailure> = persistentListOf(),
     ) : DecisionEvent {
         override val name: String get() = REQUEST_FAILED
         override val fields: Map<String, Any?> get() = mapOf(
@@ -44,6 +51,7 @@
             "took_ms" to tookMillis,
             "table_version" to tableVersion,
             "table_age_ms" to tableAgeMillis,
+            "attempts" to textOf(attempts),
         )
     }
 
@@ -52,6 +60,7 @@
      *
      * @property guarantee read guarantee of the route; null if the route has been removed since
      * @property waitedMillis wait for a connection to [target]; null inside a transaction
+     * @property attempts the attempts before the one that served it
      */
     public data class RequestServed(
         val id: RequestId,
@@ -60,6 +69,7 @@
         val tookMillis: Long,
         val target: TargetId? = null,
         val waitedMillis: Long? = null,
+        override val attempts: PersistentList<AttemptFailure> = persistentListOf(),
     ) : DecisionEvent {
         override val name: String get() = REQUEST_SERVED
         override val fields: Map<String, Any?> get() = mapOf(
@@ -68,6 +78,7 @@
             "took_ms" to tookMillis,
             "target" to target?.value,
             "waited_ms" to waitedMillis,
+            "attempts" to textOf(attempts),
         )
         override val isRoutine: Boolean get() = true
     }
@@ -84,5 +95,7 @@
     public companion object {
         public const val REQUEST_FAILED: String = "request-failed"
         public const val REQUEST_SERVED: String = "request-served"
+
+        private fun textOf(attempts: List<AttemptFailure>): String? = attempts.ifEmpty { null }?.joinToString("; ")
     }
 }
--- a/daemon/src/main/kotlin/org/buckthornhub/decisionlog/LogBudget.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/decisionlog/LogBudget.kt
@@ -14,10 +14,18 @@
     val written: Int = 0,
     val dropped: PersistentMap<String, Int> = persistentMapOf(),
 ) {
-    /** Returns the budget after one more line, and whether the line is written. Routine lines use at most half of the budget. */
+    /**
+     * Returns the budget after one more line, and whether the line is written. Routine lines use at most half of the budget;
+     * failures after an attempt have a fifth more, as refusals without one can be many.
+     */
     fun consume(event: DecisionEvent, nowMillis: Long): Pair<LogBudget, Boolean> {
         val current = if (nowMillis - secondStartMillis >= MILLIS_PER_SECOND) copy(secondStartMillis = nowMillis, written = 0) else this
-        val isWritten = current.written < if (event.isRoutine) linesPerSecond / 2 else linesPerSecond
+        val limit = when {
+            event.isRoutine -> linesPerSecond / 2
+            event.attempts.isEmpty() -> linesPerSecond
+            else -> linesPerSecond + linesPerSecond / EXTRA_DIVISOR
+        }
+        val isWritten = current.written < limit
         return (if (isWritten) current.copy(written = current.written + 1) else current.withDropped(event)) to isWritten
     }
 
@@ -25,5 +33,6 @@
 
     private companion object {
         const val MILLIS_PER_SECOND = 1_000
+        const val EXTRA_DIVISOR = 5
     }
 }
--- a/daemon/src/main/kotlin/org/buckthornhub/decisionlog/SessionMetrics.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/decisionlog/SessionMetrics.kt
@@ -4,6 +4,8 @@
 import io.prometheus.metrics.core.metrics.GaugeWithCallback
 import io.prometheus.metrics.core.metrics.Histogram
 import io.prometheus.metrics.model.registry.PrometheusRegistry
+import org.buckthornhub.connection.AttemptFailure
+import org.buckthornhub.error.ErrorTable
 import org.buckthornhub.observe.BoundedLabels
 import org.buckthornhub.routetable.ReadGuarantee
 
@@ -16,6 +18,15 @@
     private val duration =
         Histogram.builder().name("buckthornhub_statement_duration_seconds").help("From arrival to answer, by whether it was served.")
             .labelNames("route", "served").classicUpperBounds(*DURATION_BOUNDS).classicOnly().register(registry)
+    private val failedAttempts =
+        Counter.builder().name(
+            "buckthornhub_failed_attempts_total",
+        ).help("Attempts that failed, by error kind and whether they may have run.")
+            .labelNames("outcome", "may_have_run").register(registry)
+    private val failures =
+        Counter.builder().name("buckthornhub_failed_statements_total")
+            .help("Failed statements by what the caller was told (not_run, no_effect, unknown) and what the attempts met.")
+            .labelNames("told", "attempts").register(registry)
     private val served =
         Counter.builder().name("buckthornhub_target_statements_total").help("Single statements by the instance that served them.")
             .labelNames("target").register(registry)
@@ -25,11 +36,19 @@
     private val expired =
         Counter.builder().name("buckthornhub_transactions_expired_total").help("Transactions rolled back as idle.").register(registry)
 
-    override fun record(event: DecisionEvent): Unit = when (event) {
+    override fun record(event: DecisionEvent) {
+        event.attempts.forEach {
+            failedAttempts.labelValues(it.error.kind.name.lowercase(), if (it.mayHaveRun) "yes" else "no").inc()
+        }
+        count(event)
+    }
+
+    private fun count(event: DecisionEvent): Unit = when (event) {
         is DecisionEvent.RequestServed -> served(event)
         is DecisionEvent.RequestFailed -> {
             statements.labelValues(routeOf(event.guarantee), event.error.kind.name.lowercase()).inc()
             duration.labelValues(routeOf(event.guarantee), "no").observe(event.tookMillis / MILLIS_PER_SECOND)
+            failures.labelValues(ErrorTable.answerTo(event.error.kind).execution.name.lowercase(), summaryOf(event.attempts)).inc()
         }
         is DecisionEvent.TransactionExpired -> expired.inc()
     }
@@ -44,6 +63,12 @@
         }
     }
 
+    private fun summaryOf(attempts: List<AttemptFailure>): String = when {
+        attempts.any { it.mayHaveRun } -> "may_have_run"
+        attempts.any { it.target != null } -> "not_run"
+        else -> "none"
+    }
+
     private fun routeOf(guarantee: ReadGuarantee?): String = when (guarantee) {
         is ReadGuarantee.Latest -> "latest"
         is ReadGuarantee.BoundedAge -> "bounded_age"
--- a/daemon/src/test/kotlin/org/buckthornhub/decisionlog/LogBudgetTest.kt
+++ b/daemon/src/test/kotlin/org/buckthornhub/decisionlog/LogBudgetTest.kt
@@ -1,7 +1,9 @@
 package org.buckthornhub.decisionlog
 
 import io.prometheus.metrics.model.registry.PrometheusRegistry
+import kotlinx.collections.immutable.persistentListOf
 import kotlinx.coroutines.test.runTest
+import org.buckthornhub.connection.AttemptFailure
 import org.buckthornhub.error.ErrorKind
 import org.buckthornhub.error.ProxyError
 import org.buckthornhub.http.HttpRequest
@@ -9,6 +11,7 @@
 import org.buckthornhub.routetable.DatabaseName
 import org.buckthornhub.routetable.ReadGuarantee
 import org.buckthornhub.statement.RequestId
+import org.buckthornhub.target.TargetId
 import kotlin.test.Test
 import kotlin.test.assertContains
 import kotlin.test.assertEquals
@@ -33,6 +36,29 @@
         assertEquals(11, written)
     }
 
+    @Test
+    fun `failures after an attempt are written although refusals used up the budget`() {
+        val spent = (1..20).fold(LogBudget(linesPerSecond = 10)) { budget, _ -> budget.consume(failed, 5_000).first }
+        val (afterOne, isFirstWritten) = spent.consume(attempted, 5_100)
+        val (afterTwo, isSecondWritten) = afterOne.consume(attempted, 5_100)
+        assertEquals(listOf(true, true, false), listOf(isFirstWritten, isSecondWritten, afterTwo.consume(attempted, 5_100).second))
+        assertEquals("i-1 NO_PRIMARY not-run 3ms; i-2 OUTCOME_UNKNOWN may-have-run 7ms", attempted.fields["attempts"])
+    }
+
+    @Test
+    fun `metrics count attempts, and failed statements by what the caller was told`() = runTest {
+        val registry = PrometheusRegistry()
+        val metrics = SessionMetrics(registry)
+        metrics.record(attempted)
+        metrics.record(failed)
+        val request = HttpRequest("GET", "/metrics", emptyMap(), emptyMap(), emptyMap(), "")
+        val text = MetricsRoutes(registry).routes().single().handler.handle(request).body
+        assertContains(text, "buckthornhub_failed_attempts_total{may_have_run=\"no\",outcome=\"no_primary\"} 1.0")
+        assertContains(text, "buckthornhub_failed_attempts_total{may_have_run=\"yes\",outcome=\"outcome_unknown\"} 1.0")
+        assertContains(text, "buckthornhub_failed_statements_total{attempts=\"may_have_run\",told=\"unknown\"} 1.0")
+        assertContains(text, "buckthornhub_failed_statements_total{attempts=\"none\",told=\"not_run\"} 1.0")
+    }
+
     @Test
     fun `metrics count outcomes and contain no value that callers choose`() = runTest {
         val registry = PrometheusRegistry()
@@ -63,5 +89,12 @@
             tableVersion = 1,
             tableAgeMillis = 1,
         )
+        val attempted = failed.copy(
+            error = ProxyError(ErrorKind.OUTCOME_UNKNOWN, "gave no answer"),
+            attempts = persistentListOf(
+                AttemptFailure(TargetId("i-1"), ProxyError(ErrorKind.NO_PRIMARY, "not leading"), mayHaveRun = false, tookMillis = 3),
+                AttemptFailure(TargetId("i-2"), ProxyError(ErrorKind.OUTCOME_UNKNOWN, "lost"), mayHaveRun = true, tookMillis = 7),
+            ),
+        )
     }
 }
