Add a failing test: a write that may have run is refused as not run

Callers are told BUSY or ABORTED, promises that nothing is kept, for writes that an instance has committed.

RefusalAfterUnknownOutcomeTest runs plain writes, prepared writes and commits against two primaries in virtual time. Each case is a list of what the attempts meet: refused by a replaced primary, refused by another instance, the prepared name unknown, the connection lost before sending; then a lost answer, no answer, a primary replaced before the answer, or the answers in doubt, timed out, failed and an unknown code.

All cases with a first attempt that did not run fail, with each of the seven second ones, plain and prepared. Held: the same without a first attempt, the successes after it, a true refusal after it, and the commits. So ruled out by the test: that a single attempt, or a commit, is enough.

Conclusion: the errors of several attempts are combined wrongly.

--- a/daemon/src/test/kotlin/org/buckthornhub/connection/FakeLink.kt
+++ b/daemon/src/test/kotlin/org/buckthornhub/connection/FakeLink.kt
@@ -63,13 +63,18 @@
         if (isBehind(floor)) return Ok(refused(TargetRefusal.BEHIND))
         when (val fault = instance.fault(text)) {
             FakeFault.SILENT -> return silent(timeoutMillis)
-            FakeFault.BUSY -> return Ok(refused(TargetRefusal.BUSY))
-            FakeFault.FAILED, FakeFault.ANSWER_LOST, null -> {
+            FakeFault.NOT_SENT -> return notSent()
+            FakeFault.BUSY, FakeFault.NOT_LEADING, FakeFault.OTHER_INSTANCE, FakeFault.PREPARED_UNKNOWN -> return Ok(refused(fault))
+            FakeFault.FAILED -> {
+                instance.run(text)
+                return Ok(failed(TargetRefusal.FAILED))
+            }
+            FakeFault.ANSWER_LOST, FakeFault.TIMED_OUT, FakeFault.IN_DOUBT, FakeFault.OTHER_CODE, null -> {
                 instance.run(text)
-                if (fault == FakeFault.FAILED) return Ok(failed(TargetRefusal.FAILED))
                 if (isWrite && phase == SessionPhase.IDLE) instance.commit()
                 hasWritten = hasWritten || isWrite
                 if (fault == FakeFault.ANSWER_LOST) return lost()
+                if (fault != null) return Ok(refused(fault))
             }
         }
         return Ok(completed(listOf("row of $text"), "signed by ${instance.record.target}"))
@@ -79,9 +84,15 @@
         if (hasWritten && instance.role != TargetRole.PRIMARY) return Ok(failed(TargetRefusal.NOT_LEADING))
         val fault = instance.fault("COMMIT")
         if (fault == FakeFault.SILENT) return silent(timeoutMillis)
+        if (fault == FakeFault.NOT_SENT) return notSent()
+        if (fault == FakeFault.BUSY || fault == FakeFault.NOT_LEADING) return Ok(refused(fault))
         if (hasWritten) instance.commit()
         ended()
-        return if (fault == FakeFault.ANSWER_LOST) lost() else Ok(completed(emptyList(), "commit signed by ${instance.record.target}"))
+        return when (fault) {
+            FakeFault.ANSWER_LOST -> lost()
+            null -> Ok(completed(emptyList(), "commit signed by ${instance.record.target}"))
+            else -> Ok(refused(fault))
+        }
     }
 
     private fun setup(step: SetupStatement): TargetReply {
@@ -103,10 +114,27 @@
         return refused(refusal)
     }
 
+    private fun refused(fault: FakeFault): TargetReply = when (fault) {
+        FakeFault.BUSY -> refused(TargetRefusal.BUSY)
+        FakeFault.NOT_LEADING -> refused(TargetRefusal.NOT_LEADING)
+        FakeFault.OTHER_INSTANCE -> refused(TargetRefusal.OTHER_INSTANCE)
+        FakeFault.PREPARED_UNKNOWN -> refused(TargetRefusal.PREPARED_UNKNOWN)
+        FakeFault.TIMED_OUT -> refused(TargetRefusal.TIMED_OUT)
+        FakeFault.IN_DOUBT -> refused(TargetRefusal.IN_DOUBT)
+        FakeFault.FAILED -> refused(TargetRefusal.FAILED)
+        FakeFault.OTHER_CODE -> refused(TargetRefusal.OTHER)
+        FakeFault.ANSWER_LOST, FakeFault.SILENT, FakeFault.NOT_SENT -> error("$fault is no answer")
+    }
+
     private fun refused(refusal: TargetRefusal) = TargetReply.Refused(refusal, "refused by the test", phase, instance.position)
 
     private fun completed(rows: List<String>, signature: String? = null) = TargetReply.Completed(rows, signature, phase, instance.position)
 
+    private fun notSent(): Result<TargetReply, TargetLinkFailure> {
+        isOpen = false
+        return Err(TargetLinkFailure(mayHaveRun = false, isSilent = false, "not sent"))
+    }
+
     private fun lost(): Result<TargetReply, TargetLinkFailure> {
         isOpen = false
         return Err(TargetLinkFailure(mayHaveRun = true, isSilent = false, "lost"))
