Never let a refusal replace an outcome that may have run

Callers were told BUSY or ABORTED, promises that nothing is kept, for a write that an instance had committed: the first attempt was refused (READONLY of a replaced primary, another instance, a prepared name that is gone) or lost its connection before sending; the second ran, and its answer was lost, timed out, or came after a possible replacement. SingleStatementRunner answered with the error of the first. The class of fault: outcomes of several attempts combined without regard to what may have run, the certainty of one error passed on as that of all.

An attempt's failure is now NotRun or MayHaveRun, and MayHaveRun can't hold an error of a kind that promises anything. StatementFailure has no public constructor: after attempts it is made by StatementFailure.of only, which takes the first that may have run before any other. Single statements, transactions and the HTTP request path all use it; the latter kept the rule by a variable of its own before. What counts as a promise is decided in one place, ErrorTable.

Where none may have run, the caller is told the last refusal of a target; a single statement was told the one before when the last was final. So the case "connection lost before sending, then busy" expects QUEUE_FULL now instead of NO_TARGET: both are NOT_RUN and BUSY, and the later one carries the present advice.

--- a/core/src/main/kotlin/org/buckthornhub/routing/RouteInterceptor.kt
+++ b/core/src/main/kotlin/org/buckthornhub/routing/RouteInterceptor.kt
@@ -6,15 +6,18 @@
 import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getError
 import com.github.michaelbull.result.getOrElse
+import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentSetOf
 import org.buckthornhub.clock.Clock
 import org.buckthornhub.clock.Pause
+import org.buckthornhub.connection.AttemptFailure
+import org.buckthornhub.connection.StatementFailure
 import org.buckthornhub.control.ReplicatedView
 import org.buckthornhub.error.ErrorKind
-import org.buckthornhub.error.ErrorTable
-import org.buckthornhub.error.Execution
 import org.buckthornhub.error.ProxyError
+import org.buckthornhub.error.promisesNoEffect
 import org.buckthornhub.fleet.FleetView
 import org.buckthornhub.fleet.StateSource
 import org.buckthornhub.fleet.ZoneId
@@ -45,27 +48,33 @@
 ) : Interceptor {
     override suspend fun intercept(chain: Chain): Result<ProxyResponse, ProxyError> {
         retries.started(chain.call.request.operation.group)
-        return attempt(chain, attemptNumber = 1, avoided = persistentSetOf(), uncertainError = null)
+        return attempt(chain, attempts = persistentListOf(), avoided = persistentSetOf())
     }
 
-    /** @param uncertainError error of an earlier attempt that may have run; takes precedence over the errors of later attempts */
     private tailrec suspend fun attempt(
         chain: Chain,
-        attemptNumber: Int,
+        attempts: PersistentList<AttemptFailure>,
         avoided: PersistentSet<TargetId>,
-        uncertainError: ProxyError?,
     ): Result<ProxyResponse, ProxyError> {
         val request = chain.call.request
         val route = routeOf(chain.call, avoided)
         val result = proceed(chain, route)
         val error = result.getError() ?: return result
-        val failed = FailedAttempt(request.operation, error, attemptNumber, clock.nowMillis(), request.deadlineMillis)
-        val next = retries.decide(failed) as? RetryDecision.Retry ?: return Err(uncertainError ?: error)
-        pause.pause(next.delayMillis)
         val target = route.get()?.target
+        val failures = attempts.add(failureOf(target, error))
+        val failed = FailedAttempt(request.operation, error, failures.size, clock.nowMillis(), request.deadlineMillis)
+        val next = retries.decide(failed) as? RetryDecision.Retry ?: return Err(StatementFailure.of(failures).error)
+        pause.pause(next.delayMillis)
         val nextAvoided = if (next.isTargetAvoided && target != null) avoided.add(target) else avoided
-        val isUncertain = ErrorTable.answerTo(error.kind).execution == Execution.UNKNOWN
-        return attempt(chain, attemptNumber + 1, nextAvoided, if (isUncertain) error else uncertainError)
+        return attempt(chain, failures, nextAvoided)
+    }
+
+    private fun failureOf(target: TargetId?, error: ProxyError): AttemptFailure = if (target == null ||
+        error.kind.promisesNoEffect
+    ) {
+        AttemptFailure.NotRun(target, error)
+    } else {
+        AttemptFailure.MayHaveRun(target, error)
     }
 
     private suspend fun proceed(chain: Chain, route: Result<Route, ProxyError>): Result<ProxyResponse, ProxyError> {
--- a/core/src/main/kotlin/org/buckthornhub/target/owner/OwnerLedger.kt
+++ b/core/src/main/kotlin/org/buckthornhub/target/owner/OwnerLedger.kt
@@ -6,9 +6,8 @@
 import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getError
 import org.buckthornhub.error.ErrorKind
-import org.buckthornhub.error.ErrorTable
-import org.buckthornhub.error.Execution
 import org.buckthornhub.error.ProxyError
+import org.buckthornhub.error.promisesNoEffect
 import org.buckthornhub.repeat.DeduplicationEntry
 import org.buckthornhub.repeat.RequestKey
 import org.buckthornhub.statement.Answer
@@ -48,5 +47,5 @@
 
 private fun mayRunAgain(result: Result<Answer, ProxyError>): Boolean {
     val error = result.getError() ?: return false
-    return ErrorTable.answerTo(error.kind).execution != Execution.UNKNOWN
+    return error.kind.promisesNoEffect
 }
--- a/core/src/test/kotlin/org/buckthornhub/routing/AttemptTest.kt
+++ b/core/src/test/kotlin/org/buckthornhub/routing/AttemptTest.kt
@@ -99,6 +99,25 @@
                 ErrorKind.OUTCOME_UNKNOWN,
                 sends = 3,
             ),
+            AttemptCase(
+                "not sent, then unknown outcome",
+                listOf(ErrorKind.NO_PRIMARY, ErrorKind.OUTCOME_UNKNOWN),
+                ErrorKind.OUTCOME_UNKNOWN,
+                sends = 2,
+                isRepeatable = false,
+            ),
+            AttemptCase(
+                "not sent, then failed at the target",
+                listOf(ErrorKind.NO_TARGET, ErrorKind.NO_PRIMARY, ErrorKind.STATEMENT_FAILED),
+                ErrorKind.STATEMENT_FAILED,
+                sends = 3,
+            ),
+            AttemptCase(
+                "not sent, then unknown outcome, then rejected",
+                listOf(ErrorKind.NO_PRIMARY, ErrorKind.OUTCOME_UNKNOWN, ErrorKind.QUEUE_FULL),
+                ErrorKind.OUTCOME_UNKNOWN,
+                sends = 3,
+            ),
             AttemptCase("rejected without an unknown outcome", listOf(ErrorKind.QUEUE_FULL), ErrorKind.QUEUE_FULL, sends = 1),
         )
     }
--- a/daemon/src/main/kotlin/org/buckthornhub/connection/PrimaryStatementRunner.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/PrimaryStatementRunner.kt
@@ -96,15 +96,15 @@
         return RunOutcome.Retry(TargetErrors.readLost(lease.instance.target, failure), isTargetAvoided = false)
     }
 
-    private fun notRun(lease: TargetLease, failure: TargetLinkFailure): AttemptFailure {
+    private fun notRun(lease: TargetLease, failure: TargetLinkFailure): AttemptFailure.NotRun {
         val target = lease.instance.target
         val error = ProxyError(ErrorKind.NO_TARGET, "$target was lost before the statement was sent: ${failure.detail}")
-        return AttemptFailure(target, error, mayHaveRun = false)
+        return AttemptFailure.NotRun(target, error)
     }
 
-    private fun inDoubt(lease: TargetLease, detail: String): AttemptFailure {
+    private fun inDoubt(lease: TargetLease, detail: String): AttemptFailure.MayHaveRun {
         val target = lease.instance.target
-        return AttemptFailure(target, ProxyError(ErrorKind.OUTCOME_UNKNOWN, "$target $detail"), mayHaveRun = true)
+        return AttemptFailure.MayHaveRun(target, ProxyError(ErrorKind.OUTCOME_UNKNOWN, "$target $detail"))
     }
 
     private suspend fun rollBack(lease: TargetLease, timeoutMillis: Long) {
--- a/daemon/src/main/kotlin/org/buckthornhub/connection/RunOutcome.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/RunOutcome.kt
@@ -14,12 +14,11 @@
     /** The target gave no answer, or refused the statement. */
     sealed interface Failed : RunOutcome {
         val failure: AttemptFailure
-        val error: ProxyError get() = failure.error
     }
 
     /** No connection could be acquired, so nothing was sent. */
     data class NoTarget(override val failure: AttemptFailure) : Failed {
-        constructor(error: ProxyError) : this(AttemptFailure(target = null, error, mayHaveRun = false))
+        constructor(error: ProxyError) : this(AttemptFailure.NotRun(target = null, error))
     }
 
     /** Failed without a further attempt. */
--- a/daemon/src/main/kotlin/org/buckthornhub/connection/SessionTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/SessionTask.kt
@@ -111,7 +111,7 @@
         startedMillis = environment.clock.nowMillis()
         when (val step = SessionRules.next(session, request.statement, environment.clock.nowMillis())) {
             is SessionStep.Acknowledge -> acknowledge(step.state)
-            is SessionStep.Refuse -> refuse(StatementFailure(ProxyError(step.kind, step.detail)), step.state)
+            is SessionStep.Refuse -> refuse(StatementFailure.refused(ProxyError(step.kind, step.detail)), step.state)
             is SessionStep.BeginTransaction -> return begin(step)
             is SessionStep.RunOutsideTransaction -> return runOutsideTransaction(request, step)
             is SessionStep.RunInTransaction -> return runInTransaction(request, step)
@@ -126,14 +126,14 @@
     }
 
     private suspend fun begin(step: SessionStep.BeginTransaction): Boolean {
-        val admission = gate.admit(caller).getOrElse { return refuseOperation(StatementFailure(it)) }
+        val admission = gate.admit(caller).getOrElse { return refuseOperation(StatementFailure.refused(it)) }
         transaction = TransactionRunner(environment, scope, admission)
         acknowledge(step.state)
         return true
     }
 
     private suspend fun runOutsideTransaction(request: ClientRequest.Query, step: SessionStep.RunOutsideTransaction): Boolean {
-        val admission = gate.admit(caller).getOrElse { return refuseOperation(StatementFailure(it)) }
+        val admission = gate.admit(caller).getOrElse { return refuseOperation(StatementFailure.refused(it)) }
         val served = statementRunner.run(scope, step.work, request.id, session, admission).getOrElse { failure ->
             if (failure.attempts.all { it.target == null }) environment.rateLimiter.refund(admission.organisation)
             return refuseOperation(failure)
@@ -224,7 +224,7 @@
         recordFailure(failure)
     }
 
-    private fun failTransaction(error: ProxyError): Boolean = failTransaction(StatementFailure(error))
+    private fun failTransaction(error: ProxyError): Boolean = failTransaction(StatementFailure.refused(error))
 
     private fun failTransaction(failure: StatementFailure): Boolean {
         transaction?.rollBack()
--- a/daemon/src/main/kotlin/org/buckthornhub/connection/SingleStatementRunner.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/SingleStatementRunner.kt
@@ -5,7 +5,6 @@
 import com.github.michaelbull.result.Result
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.coroutines.CoroutineScope
-import org.buckthornhub.error.ProxyError
 import org.buckthornhub.routetable.ReadGuarantee
 import org.buckthornhub.statement.Access
 import org.buckthornhub.statement.RequestId
@@ -25,7 +24,6 @@
     ): Result<ServedStatement, StatementFailure> {
         val receivedMillis = environment.clock.nowMillis()
         var excluded: Set<TargetId> = emptySet()
-        var last: RunOutcome.Retry? = null
         var attempts = persistentListOf<AttemptFailure>()
         var current = admission
         // A statement is retried only if nothing has run or repeating it is safe; the bound prevents an endless loop.
@@ -34,16 +32,13 @@
             val outcome = attempt(scope, work, id, session, current, receivedMillis, excluded)
             if (outcome is RunOutcome.Done) return Ok(ServedStatement(outcome, attempts))
             val failed = outcome as RunOutcome.Failed
-            attempts = attempts.add(failed.failure.copy(tookMillis = environment.clock.nowMillis() - startedMillis))
-            if (failed !is RunOutcome.Retry) return Err(StatementFailure(preferred(failed, last), attempts))
-            last = failed
+            attempts = attempts.add(failed.failure.took(environment.clock.nowMillis() - startedMillis))
+            if (failed !is RunOutcome.Retry) return Err(StatementFailure.of(attempts))
             if (failed.isTargetAvoided) excluded = excluded + setOfNotNull(failed.failure.target)
             current = admission.at(environment.clock.nowMillis())
-            if (current.receivedMillis - receivedMillis >= admission.route.statementTimeoutMillis) {
-                return Err(StatementFailure(failed.error, attempts))
-            }
+            if (current.receivedMillis - receivedMillis >= admission.route.statementTimeoutMillis) return Err(StatementFailure.of(attempts))
         }
-        return Err(StatementFailure(checkNotNull(last) { "no attempt was made" }.error, attempts))
+        return Err(StatementFailure.of(attempts))
     }
 
     private suspend fun attempt(
@@ -60,12 +55,6 @@
         else -> readRunner.read(work, id, session, admission, receivedMillis, excluded)
     }
 
-    // The error of the last attempt says more than the error that no further target was found.
-    private fun preferred(outcome: RunOutcome.Failed, last: RunOutcome.Retry?): ProxyError {
-        if (last == null) return outcome.error
-        return last.error.copy(detail = "${last.error.detail}; then ${outcome.error.detail}")
-    }
-
     private companion object {
         const val MAX_ATTEMPTS = 4
     }
--- a/daemon/src/main/kotlin/org/buckthornhub/connection/TargetErrors.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/TargetErrors.kt
@@ -7,13 +7,15 @@
 /** Maps refusals of targets, and missing answers, to errors for callers. */
 internal object TargetErrors {
     /** Failure of an attempt that [target] refused. */
-    fun refused(target: TargetId, reply: TargetReply.Refused): AttemptFailure =
-        AttemptFailure(target, of(target, reply), reply.refusal.mayHaveRun)
+    fun refused(target: TargetId, reply: TargetReply.Refused): AttemptFailure {
+        val error = of(target, reply)
+        return if (reply.refusal.mayHaveRun) AttemptFailure.MayHaveRun(target, error) else AttemptFailure.NotRun(target, error)
+    }
 
     /** Failure of a read that [target] did not answer. */
     fun readLost(target: TargetId, failure: TargetLinkFailure): AttemptFailure {
         val error = ProxyError(ErrorKind.ANSWER_LOST, "$target gave no answer: ${failure.detail}")
-        return AttemptFailure(target, error, failure.mayHaveRun)
+        return if (failure.mayHaveRun) AttemptFailure.MayHaveRun(target, error) else AttemptFailure.NotRun(target, error)
     }
 
     fun of(target: TargetId, refused: TargetReply.Refused): ProxyError {
--- a/daemon/src/main/kotlin/org/buckthornhub/connection/TransactionRunner.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/TransactionRunner.kt
@@ -43,9 +43,8 @@
         val lease = leaseFor(session, open).getOrElse { return Err(it) }
         val sentMillis = environment.clock.nowMillis()
         val reply = lease.prepareAndRun(work, id, session, floor = null, timeoutMillis)
-            .getOrElse { return Err(failureOf(lease, aborted(lease, it), sentMillis, mayHaveRun = false)) }
-        // A statement takes effect with the commit only.
-        return settle(lease, reply, sentMillis).mapError { failureOf(lease, it, sentMillis, mayHaveRun = false) }
+            .getOrElse { return Err(failureOf(aborted(lease, it), sentMillis)) }
+        return settle(lease, reply, sentMillis).mapError { failureOf(it, sentMillis) }
     }
 
     /** Commits. Fails with `OUTCOME_UNKNOWN` if the commit may have taken effect; on any other error the transaction is rolled back. */
@@ -53,16 +52,13 @@
         val lease = leaseFor(session, open).getOrElse { return Err(it) }
         val sentMillis = environment.clock.nowMillis()
         val reply = lease.run(TargetStatement.Commit(id), timeoutMillis).getOrElse { failure ->
-            val error = aborted(lease, failure)
-            val mayHaveRun = open.hasWritten && failure.mayHaveRun
-            val found = if (mayHaveRun) error.copy(kind = ErrorKind.OUTCOME_UNKNOWN) else error
-            return Err(failureOf(lease, found, sentMillis, mayHaveRun))
+            val aborted = aborted(lease, failure)
+            return Err(failureOf(if (open.hasWritten && failure.mayHaveRun) inDoubt(aborted) else aborted, sentMillis))
         }
         if (reply is TargetReply.Completed) release(lease)
-        return settle(lease, reply, sentMillis).mapError { error ->
+        return settle(lease, reply, sentMillis).mapError { failure ->
             val isReplaced = reply is TargetReply.Completed && open.hasWritten
-            val mayHaveRun = isReplaced || (reply as? TargetReply.Refused)?.refusal?.mayHaveRun == true
-            failureOf(lease, if (isReplaced) error.copy(kind = ErrorKind.OUTCOME_UNKNOWN) else error, sentMillis, mayHaveRun)
+            failureOf(if (isReplaced) inDoubt(failure) else failure, sentMillis)
         }
     }
 
@@ -76,7 +72,7 @@
         }
     }
 
-    private fun settle(lease: TargetLease, reply: TargetReply, sentMillis: Long): Result<TargetReply.Completed, ProxyError> {
+    private fun settle(lease: TargetLease, reply: TargetReply, sentMillis: Long): Result<TargetReply.Completed, AttemptFailure> {
         if (reply is TargetReply.Completed) {
             // Each answer in a read-write transaction proves that the instance was still primary.
             return if (!isOnPrimary || primaryRunner.observe(admission, lease, sentMillis, reply)) Ok(reply) else Err(replaced(lease))
@@ -85,12 +81,12 @@
         if (refused.refusal == TargetRefusal.NOT_LEADING) environment.pool.demote(lease.instance.target)
         // A refused commit may have ended the transaction already.
         if (refused.phase == SessionPhase.IDLE) release(lease) else rollBack()
-        return Err(TargetErrors.of(lease.instance.target, refused))
+        return Err(TargetErrors.refused(lease.instance.target, refused))
     }
 
-    private fun replaced(lease: TargetLease): ProxyError {
+    private fun replaced(lease: TargetLease): AttemptFailure {
         rollBack()
-        return ProxyError(ErrorKind.TRANSACTION_ABORTED, "${lease.instance.target} may have been replaced during the transaction")
+        return abortedBy(lease, "may have been replaced during the transaction")
     }
 
     private fun release(ended: TargetLease) {
@@ -98,21 +94,29 @@
         ended.release()
     }
 
-    private fun aborted(lease: TargetLease, failure: TargetLinkFailure): ProxyError {
+    private fun aborted(lease: TargetLease, failure: TargetLinkFailure): AttemptFailure {
         this.lease = null
         lease.release()
-        return ProxyError(ErrorKind.TRANSACTION_ABORTED, "${lease.instance.target} was lost in a transaction: ${failure.detail}")
+        return abortedBy(lease, "was lost in a transaction: ${failure.detail}")
     }
 
-    private fun failureOf(lease: TargetLease, error: ProxyError, sentMillis: Long, mayHaveRun: Boolean): StatementFailure {
-        val tookMillis = environment.clock.nowMillis() - sentMillis
-        return StatementFailure(error, persistentListOf(AttemptFailure(lease.instance.target, error, mayHaveRun, tookMillis)))
+    // Without a commit, the statements of a transaction have no effect.
+    private fun abortedBy(lease: TargetLease, detail: String): AttemptFailure {
+        val target = lease.instance.target
+        return AttemptFailure.NotRun(target, ProxyError(ErrorKind.TRANSACTION_ABORTED, "$target $detail"))
+    }
+
+    private fun inDoubt(commit: AttemptFailure): AttemptFailure {
+        val target = checkNotNull(commit.target) { "the commit was sent to no target" }
+        return AttemptFailure.MayHaveRun(target, commit.error.copy(kind = ErrorKind.OUTCOME_UNKNOWN))
     }
 
+    private fun failureOf(attempt: AttemptFailure, sentMillis: Long): StatementFailure =
+        StatementFailure.of(persistentListOf(attempt.took(environment.clock.nowMillis() - sentMillis)))
+
     private suspend fun leaseFor(session: SessionState, open: TransactionState.Open): Result<TargetLease, StatementFailure> {
         lease?.let { return Ok(it) }
         var excluded: Set<TargetId> = emptySet()
-        var last: RunOutcome.Retry? = null
         var attempts = persistentListOf<AttemptFailure>()
         repeat(MAX_ATTEMPTS) {
             val startedMillis = environment.clock.nowMillis()
@@ -123,12 +127,11 @@
                 },
                 failure = { it },
             )
-            attempts = attempts.add(failed.failure.copy(tookMillis = environment.clock.nowMillis() - startedMillis))
-            if (failed !is RunOutcome.Retry) return Err(StatementFailure((last ?: failed).error, attempts))
-            last = failed
+            attempts = attempts.add(failed.failure.took(environment.clock.nowMillis() - startedMillis))
+            if (failed !is RunOutcome.Retry) return Err(StatementFailure.of(attempts))
             excluded = excluded + setOfNotNull(failed.failure.target)
         }
-        return Err(StatementFailure(checkNotNull(last) { "no attempt was made" }.error, attempts))
+        return Err(StatementFailure.of(attempts))
     }
 
     private suspend fun begin(
@@ -148,12 +151,12 @@
         val reply = lease.run(TargetStatement.Begin(readOnly = floor != null, floor), admission.attemptMillis).getOrElse {
             lease.release()
             val error = ProxyError(ErrorKind.NO_TARGET, "$target did not begin a transaction: ${it.detail}")
-            return Err(RunOutcome.Retry(AttemptFailure(target, error, mayHaveRun = false), isTargetAvoided = true))
+            return Err(RunOutcome.Retry(AttemptFailure.NotRun(target, error), isTargetAvoided = true))
         }
         if (reply is TargetReply.Refused) {
             lease.release()
             if (reply.refusal == TargetRefusal.NOT_LEADING) environment.pool.demote(target)
-            return Err(RunOutcome.Retry(AttemptFailure(target, TargetErrors.of(target, reply), mayHaveRun = false), isTargetAvoided = true))
+            return Err(RunOutcome.Retry(AttemptFailure.NotRun(target, TargetErrors.of(target, reply)), isTargetAvoided = true))
         }
         isOnPrimary = floor == null
         if (isOnPrimary) primaryRunner.observe(admission, lease, sentMillis, reply)
--- a/daemon/src/main/kotlin/org/buckthornhub/decisionlog/SessionMetrics.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/decisionlog/SessionMetrics.kt
@@ -38,7 +38,7 @@
 
     override fun record(event: DecisionEvent) {
         event.attempts.forEach {
-            failedAttempts.labelValues(it.error.kind.name.lowercase(), if (it.mayHaveRun) "yes" else "no").inc()
+            failedAttempts.labelValues(it.error.kind.name.lowercase(), if (it is AttemptFailure.MayHaveRun) "yes" else "no").inc()
         }
         count(event)
     }
@@ -64,7 +64,7 @@
     }
 
     private fun summaryOf(attempts: List<AttemptFailure>): String = when {
-        attempts.any { it.mayHaveRun } -> "may_have_run"
+        attempts.any { it is AttemptFailure.MayHaveRun } -> "may_have_run"
         attempts.any { it.target != null } -> "not_run"
         else -> "none"
     }
--- a/daemon/src/test/kotlin/org/buckthornhub/connection/RefusalAfterUnknownOutcomeTest.kt
+++ b/daemon/src/test/kotlin/org/buckthornhub/connection/RefusalAfterUnknownOutcomeTest.kt
@@ -76,7 +76,7 @@
                     notRun.flatMap { cases(name, statements, listOf(it)) } +
                     cases(name, statements, listOf(notRun.last(), notRun.last())) +
                     notRun.map { UnknownOutcomeCase(name, statements, listOf(it, served), answer = null, commits = 1) } +
-                    UnknownOutcomeCase(name, statements, notRun.takeLast(1) + busy, ErrorKind.NO_TARGET, commits = 0)
+                    UnknownOutcomeCase(name, statements, notRun.takeLast(1) + busy, ErrorKind.QUEUE_FULL, commits = 0)
             }
 
         @JvmStatic
--- a/daemon/src/test/kotlin/org/buckthornhub/decisionlog/LogBudgetTest.kt
+++ b/daemon/src/test/kotlin/org/buckthornhub/decisionlog/LogBudgetTest.kt
@@ -92,8 +92,8 @@
         val attempted = failed.copy(
             error = ProxyError(ErrorKind.OUTCOME_UNKNOWN, "gave no answer"),
             attempts = persistentListOf(
-                AttemptFailure(TargetId("i-1"), ProxyError(ErrorKind.NO_PRIMARY, "not leading"), mayHaveRun = false, tookMillis = 3),
-                AttemptFailure(TargetId("i-2"), ProxyError(ErrorKind.OUTCOME_UNKNOWN, "lost"), mayHaveRun = true, tookMillis = 7),
+                AttemptFailure.NotRun(TargetId("i-1"), ProxyError(ErrorKind.NO_PRIMARY, "not leading"), tookMillis = 3),
+                AttemptFailure.MayHaveRun(TargetId("i-2"), ProxyError(ErrorKind.OUTCOME_UNKNOWN, "lost"), tookMillis = 7),
             ),
         )
     }
