--- a/daemon/src/test/kotlin/org/buckthornhub/connection/FakeLink.kt
+++ b/daemon/src/test/kotlin/org/buckthornhub/connection/FakeLink.kt
@@ -61,23 +61,27 @@
         val needsPrimary = isWrite || phase == SessionPhase.IN_TRANSACTION && isReadWrite
         if (needsPrimary && instance.role != TargetRole.PRIMARY) return Ok(failed(TargetRefusal.NOT_LEADING))
         if (isBehind(floor)) return Ok(refused(TargetRefusal.BEHIND))
-        when (val fault = instance.fault(text)) {
-            FakeFault.SILENT -> return silent(timeoutMillis)
-            FakeFault.NOT_SENT -> return notSent()
-            FakeFault.BUSY, FakeFault.NOT_LEADING, FakeFault.OTHER_INSTANCE, FakeFault.PREPARED_UNKNOWN -> return Ok(refused(fault))
+        return when (val fault = instance.fault(text)) {
+            FakeFault.SILENT -> silent(timeoutMillis)
+            FakeFault.NOT_SENT -> notSent()
+            FakeFault.BUSY, FakeFault.NOT_LEADING, FakeFault.OTHER_INSTANCE, FakeFault.PREPARED_UNKNOWN -> Ok(refused(fault))
             FakeFault.FAILED -> {
                 instance.run(text)
-                return Ok(failed(TargetRefusal.FAILED))
-            }
-            FakeFault.ANSWER_LOST, FakeFault.TIMED_OUT, FakeFault.IN_DOUBT, FakeFault.OTHER_CODE, null -> {
-                instance.run(text)
-                if (isWrite && phase == SessionPhase.IDLE) instance.commit()
-                hasWritten = hasWritten || isWrite
-                if (fault == FakeFault.ANSWER_LOST) return lost()
-                if (fault != null) return Ok(refused(fault))
+                Ok(failed(TargetRefusal.FAILED))
             }
+            FakeFault.ANSWER_LOST, FakeFault.TIMED_OUT, FakeFault.IN_DOUBT, FakeFault.OTHER_CODE, null -> ran(text, isWrite, fault)
+        }
+    }
+
+    private fun ran(text: String, isWrite: Boolean, fault: FakeFault?): Result<TargetReply, TargetLinkFailure> {
+        instance.run(text)
+        if (isWrite && phase == SessionPhase.IDLE) instance.commit()
+        hasWritten = hasWritten || isWrite
+        return when (fault) {
+            FakeFault.ANSWER_LOST -> lost()
+            null -> Ok(completed(listOf("row of $text"), "signed by ${instance.record.target}"))
+            else -> Ok(refused(fault))
         }
-        return Ok(completed(listOf("row of $text"), "signed by ${instance.record.target}"))
     }
 
     private suspend fun commit(timeoutMillis: Long): Result<TargetReply, TargetLinkFailure> {
