Refuse announcements whose start time or sequence no instance can have

One entry of another writer with `born` (or in microseconds) took the id or the address of a running instance, and every later announcement of that instance was dropped as older: a restart, a drain or a new role was not followed until the control leader changed, and not even then, as the daemons hand the entry on to the next leader. A huge `sequence` with the start time of the instance did the same.

Cause: the directory keeps what compares as newest and compared any number. InstanceRecordCheck now refuses a start time more than 10 minutes ahead of the wall clock of the control VM, and a sequence that passes one announcement a millisecond since the start. A warning says so, at most one in 10 s.

Ruled out: to order by arrival instead of numbers, since a late announcement would then replace a newer one; to refuse entries without a start time, which rank below any other and shut out nothing.

An entry whose numbers a running instance could have is still taken: no announcement is authenticated.

--- a/daemon/src/main/kotlin/org/buckthornhub/coordination/CoordinatorTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/coordination/CoordinatorTask.kt
@@ -12,6 +12,9 @@
 import org.buckthornhub.control.CommandOutcome
 import org.buckthornhub.control.ControlCommand
 import org.buckthornhub.control.ControlLog
+import org.buckthornhub.directory.InstanceRecord
+import org.buckthornhub.directory.InstanceRecordCheck
+import org.buckthornhub.directory.RefusedAnnouncementLog
 import org.buckthornhub.failover.FailoverDecider
 import org.buckthornhub.failover.FailoverEffect
 import org.buckthornhub.failover.FailoverMessage
@@ -39,6 +42,7 @@
     clock,
 ) {
     private val latest = MutableStateFlow(current())
+    private val refused = RefusedAnnouncementLog(clock)
     private lateinit var scope: CoroutineScope
 
     /** Emits after each handled message. */
@@ -55,10 +59,24 @@
     }
 
     override suspend fun handle(message: CoordinatorMessage) {
-        super.handle(message)
+        super.handle(withoutInvalid(message) ?: return)
         latest.value = current()
     }
 
+    // Other control VMs and daemons may run a version that does not check what they pass on.
+    private fun withoutInvalid(message: CoordinatorMessage): CoordinatorMessage? = when (message) {
+        is CoordinatorMessage.Announced -> message.takeIf { isValid(it.record) }
+        is CoordinatorMessage.Reported ->
+            message.copy(report = message.report.copy(instances = message.report.instances.filter { isValid(it) }))
+        else -> message
+    }
+
+    private fun isValid(record: InstanceRecord): Boolean {
+        val error = InstanceRecordCheck.errorIn(record, clock.wallMillis()) ?: return true
+        refused.record(record.target.value, error)
+        return false
+    }
+
     override suspend fun carryOut(effect: FailoverEffect) {
         when (effect) {
             is FailoverEffect.Survey -> scope.launch { survey(effect) }
