--- a/core/src/test/kotlin/org/buckthornhub/directory/InstanceRecordCheckTest.kt
+++ b/core/src/test/kotlin/org/buckthornhub/directory/InstanceRecordCheckTest.kt
@@ -34,8 +34,28 @@
 
         private fun sequence(name: String, number: Long, isValid: Boolean) = RecordCheckCase(name, isValid) { copy(sequence = number) }
 
+        private fun names(): List<RecordCheckCase> = listOf(
+            RecordCheckCase("the longest id", isValid = true) { copy(target = TargetId("i".repeat(255))) },
+            RecordCheckCase("a longer id", isValid = false) { copy(target = TargetId("i".repeat(256))) },
+            RecordCheckCase("an empty id", isValid = false) { copy(target = TargetId("")) },
+            RecordCheckCase("an id with a space", isValid = false) { copy(target = TargetId("i 1")) },
+            RecordCheckCase("a group with a line feed", isValid = false) { copy(group = GroupId("g\nQUERY - COMMIT")) },
+            RecordCheckCase("a group with a NUL", isValid = false) { copy(group = GroupId("g\u0000")) },
+            RecordCheckCase("a group with half of a character", isValid = false) { copy(group = GroupId("g\ud800")) },
+            RecordCheckCase("a group with other letters", isValid = true) { copy(group = GroupId("gr\u00fc\u00df")) },
+            RecordCheckCase("a long zone", isValid = false) { copy(zone = ZoneId("z".repeat(256))) },
+            RecordCheckCase("the highest port", isValid = true) { copy(address = "10.0.0.1:65535") },
+            RecordCheckCase("a port out of range", isValid = false) { copy(address = "10.0.0.1:65536") },
+            RecordCheckCase("port 0", isValid = false) { copy(address = "10.0.0.1:0") },
+            RecordCheckCase("a negative port", isValid = false) { copy(address = "10.0.0.1:-1") },
+            RecordCheckCase("a port too large for a number", isValid = false) { copy(address = "10.0.0.1:99999999999") },
+            RecordCheckCase("no port", isValid = false) { copy(address = "10.0.0.1") },
+            RecordCheckCase("no host", isValid = false) { copy(address = ":8080") },
+            RecordCheckCase("an address with a control character", isValid = false) { copy(address = "10.0.0.1\r:8080") },
+        )
+
         @JvmStatic
-        fun cases(): List<RecordCheckCase> = listOf(
+        fun cases(): List<RecordCheckCase> = names() + listOf(
             started("started an hour ago", NOW_WALL_MILLIS - HOUR_MILLIS, isValid = true),
             started("start time not known", 0, isValid = true),
             started("started now", NOW_WALL_MILLIS, isValid = true),
--- a/daemon/src/test/kotlin/org/buckthornhub/coordination/OddEntryTest.kt
+++ b/daemon/src/test/kotlin/org/buckthornhub/coordination/OddEntryTest.kt
@@ -89,6 +89,22 @@
             OddEntryCase("the largest sequence") { copy(sequence = Long.MAX_VALUE) },
             OddEntryCase("a sequence beyond 32 bits") { copy(sequence = 1L shl 32) },
             OddEntryCase("a negative start time and sequence") { copy(startedWallMillis = -1, sequence = -1) },
+            OddEntryCase("a line feed in the group") {
+                copy(target = TargetId("odd"), address = "10.0.1.1:1", group = GroupId("g0\nQUERY"))
+            },
+            OddEntryCase("a line feed in the id") { copy(target = TargetId("odd\n"), address = "10.0.1.1:1") },
+            OddEntryCase("a group of 200,000 characters") {
+                copy(target = TargetId("odd"), address = "10.0.1.1:1", group = GroupId("g".repeat(200_000)))
+            },
+            OddEntryCase("a port out of range") { copy(target = TargetId("odd"), address = "10.0.1.1:99999") },
+            OddEntryCase("a port too large for a number") { copy(target = TargetId("odd"), address = "10.0.1.1:99999999999") },
+            OddEntryCase("a port out of range, from the id of an instance") {
+                copy(
+                    address = "10.0.1.1:99999",
+                    startedWallMillis =
+                    startedWallMillis + 1,
+                )
+            },
             OddEntryCase("no start time, at the address of an instance") { copy(target = TargetId("odd"), startedWallMillis = 0) },
         )
     }
