--- a/daemon/src/test/kotlin/org/buckthornhub/peer/ForwardingTest.kt
+++ b/daemon/src/test/kotlin/org/buckthornhub/peer/ForwardingTest.kt
@@ -79,10 +79,22 @@
         assertFalse(fleet.targetLink.sent.any { it.contains("secret-of-the-fleet") })
     }
 
-    private fun callOf(access: Access) =
-        TargetCall(TargetId("p"), operationOf(access), RequestId("r"), OrganisationId("o"), Position.START, deadlineMillis = 1_000)
+    @Test
+    fun `the text of a statement reaches the target unchanged, whatever characters it has`() = runTest {
+        val fleet = TwoDaemons(backgroundScope, clockOf(this))
+        fleet.start()
+        val texts = (0..255).map { "put x a${it.toChar()}b" } + listOf("put x a\r\nget y", "put x a\n\rget y", "\r", "\n")
+        texts.forEachIndexed { index, text ->
+            assertNull(fleet.gateway.execute(callOf(Access.WRITE, text, id = "r$index")).getError(), "statement $index")
+        }
+        assertEquals(texts, fleet.target.executed.map { it.text })
+    }
+
+    private fun callOf(access: Access, text: String = "put x 1", id: String = "r") =
+        TargetCall(TargetId("p"), operationOf(access, text), RequestId(id), OrganisationId("o"), Position.START, deadlineMillis = 1_000)
 
-    private fun operationOf(access: Access) = Operation.Run(Statement(GroupId("g"), access, "put x 1", repeatable = false))
+    private fun operationOf(access: Access, text: String = "put x 1") =
+        Operation.Run(Statement(GroupId("g"), access, text, repeatable = false))
 
     private fun clockOf(scope: TestScope) = object : Clock {
         override fun nowMillis(): Long = scope.currentTime
