Record a commit under the group of its transaction

What callers saw: a transaction whose route was moved to another group before its COMMIT ran and committed in the former group, as a change of a route applies from the next transaction on. The position of the commit was remembered for the new group. Once the route led back, a read of the same session on a read-your-writes route ran on a replica without the session's own commit; in the new group, a position of another log counted as a floor.

Cause: SessionTask.commit took the group from the route at the time of the COMMIT and not from the admission that the transaction had begun with.

Ruled out: single writes (admission and group come from one check) and the commit timelines, which already use the group of the transaction.

Conclusion: the transaction says which group its commit belongs to.

--- a/daemon/src/main/kotlin/org/buckthornhub/connection/SessionTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/SessionTask.kt
@@ -19,6 +19,7 @@
 import org.buckthornhub.decisionlog.DecisionEvent
 import org.buckthornhub.error.ErrorKind
 import org.buckthornhub.error.ProxyError
+import org.buckthornhub.group.GroupId
 import org.buckthornhub.group.Position
 import org.buckthornhub.organisation.KeyDigest
 import org.buckthornhub.statement.Access
@@ -138,7 +139,7 @@
             if (failure.attempts.all { it.target == null }) environment.rateLimiter.refund(admission.organisation)
             return refuseOperation(failure)
         }
-        if (step.work.access == Access.WRITE) recordCommit(admission, served.outcome.reply.position)
+        if (step.work.access == Access.WRITE) recordCommit(admission.route.group, served.outcome.reply.position)
         complete(served.outcome.reply, served)
         return true
     }
@@ -159,13 +160,13 @@
 
     private suspend fun commit(request: ClientRequest.Query, step: SessionStep.CommitTransaction): Boolean {
         val open = transaction ?: return failTransaction(lostTransaction)
-        val admission = gate.check(caller).getOrElse { return failTransaction(it) }
+        gate.check(caller).getOrElse { return failTransaction(it) }
         val result = open.commit(request.id, session, step.transaction)
         transaction = null
         session = session.copy(transaction = TransactionState.None)
         result.mapBoth(
             success = {
-                if (step.transaction.hasWritten) recordCommit(admission, it.position)
+                if (step.transaction.hasWritten) recordCommit(open.group, it.position)
                 complete(it)
             },
             failure = { refuse(it, session) },
@@ -173,8 +174,8 @@
         return true
     }
 
-    private fun recordCommit(admission: Admission, position: Position?) {
-        if (position != null) session = session.committed(admission.route.group, position)
+    private fun recordCommit(group: GroupId, position: Position?) {
+        if (position != null) session = session.committed(group, position)
     }
 
     private fun acknowledge(state: SessionState) {
--- a/daemon/src/main/kotlin/org/buckthornhub/connection/TransactionRunner.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/TransactionRunner.kt
@@ -25,6 +25,7 @@
     private val primaryRunner = PrimaryStatementRunner(environment)
     private val readRunner = ReadRunner(environment)
     val organisation get() = admission.organisation
+    val group get() = admission.route.group
     private val timeoutMillis get() = admission.route.statementTimeoutMillis
     private var lease: TargetLease? = null
     private var isOnPrimary = false
