End a transaction whose key was given to another organisation

What callers saw: a key was moved from one organisation to another while its caller had a transaction open. The statements and the COMMIT went on on a connection of the former organisation, and the commit took effect there (UNASKED). A key that was withdrawn without a new holder did end the transaction.

Cause: SessionTask checked that some organisation held the key and dropped the one that the check had found.

Ruled out: a late configuration and a stale proof of keys; single statements of the same session ran for the new holder (KeyMoveTest, a row that passed before).

Change: AdmissionRules in core decides by a route table alone whom statements run for and whether a transaction may go on. A transaction whose key has another holder is rolled back with TRANSACTION_ABORTED, which is true since no COMMIT was sent; a COMMIT that was sent is answered as before. On an anonymous route this holds for a key that is withdrawn or given out meanwhile, too. A COMMIT that is refused ends the transaction, as every other answer to one does; it left the session in a failed transaction, where callers close the connection.

--- a/daemon/src/main/kotlin/org/buckthornhub/connection/AdmissionGate.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/AdmissionGate.kt
@@ -4,6 +4,7 @@
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.getOrElse
+import com.github.michaelbull.result.map
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.withTimeoutOrNull
 import org.buckthornhub.coordination.ProxyView
@@ -18,11 +19,13 @@
     suspend fun check(caller: CallerIdentity): Result<Admission, ProxyError> {
         val receivedMillis = environment.clock.nowMillis()
         val table = freshTable().getOrElse { return Err(it) }
-        val route = table.routes[caller.database]
-            ?: return Err(ProxyError(ErrorKind.DATABASE_UNKNOWN, "no route for database ${caller.database}"))
-        val holder = table.holderOf(caller.key)
-        if (holder == null && !route.isAnonymous) return Err(ProxyError(ErrorKind.KEY_UNKNOWN, "no organisation holds this key"))
-        return Ok(Admission(route, holder?.organisation ?: OrganisationId.NONE, receivedMillis))
+        return AdmissionRules.admit(table, caller.database, caller.key).map { Admission(it.route, it.organisation, receivedMillis) }
+    }
+
+    /** Returns why the open transaction of [caller], which began for [organisation], must not go on; null if it may. */
+    suspend fun refusalInTransaction(caller: CallerIdentity, organisation: OrganisationId): ProxyError? {
+        val table = freshTable().getOrElse { return it }
+        return AdmissionRules.refusalInTransaction(organisation, table, caller.database, caller.key)
     }
 
     /** Does [check] and counts one operation against the rate limit of the organisation; may also fail with `RATE_EXCEEDED`. */
--- a/daemon/src/main/kotlin/org/buckthornhub/connection/SessionTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/SessionTask.kt
@@ -146,8 +146,8 @@
 
     private suspend fun runInTransaction(request: ClientRequest.Query, step: SessionStep.RunInTransaction): Boolean {
         val open = transaction ?: return failTransaction(lostTransaction)
-        // The revocation of a key also aborts its open transactions.
-        gate.check(caller).getOrElse { return failTransaction(it) }
+        // A key that was revoked, or given to another organisation, also ends the open transaction.
+        gate.refusalInTransaction(caller, open.organisation)?.let { return failTransaction(it) }
         val reply = open.run(step.work, request.id, session, step.transaction).getOrElse {
             if (!open.hasAcquiredTarget) environment.rateLimiter.refund(open.organisation)
             return failTransaction(it)
@@ -160,7 +160,7 @@
 
     private suspend fun commit(request: ClientRequest.Query, step: SessionStep.CommitTransaction): Boolean {
         val open = transaction ?: return failTransaction(lostTransaction)
-        gate.check(caller).getOrElse { return failTransaction(it) }
+        gate.refusalInTransaction(caller, open.organisation)?.let { return refuseCommit(it) }
         val result = open.commit(request.id, session, step.transaction)
         transaction = null
         session = session.copy(transaction = TransactionState.None)
@@ -234,6 +234,14 @@
         return true
     }
 
+    // The commit was not sent. Like any other answer to a commit, this one ends the transaction.
+    private fun refuseCommit(error: ProxyError): Boolean {
+        transaction?.rollBack()
+        transaction = null
+        refuse(StatementFailure.refused(error), session.copy(transaction = TransactionState.None))
+        return true
+    }
+
     // Closes the connection if its database or key no longer exists, or if another daemon may have a better connection to the fleet.
     private fun refuseOperation(failure: StatementFailure): Boolean {
         refuse(failure, session)
--- a/daemon/src/test/kotlin/org/buckthornhub/connection/FakeFleet.kt
+++ b/daemon/src/test/kotlin/org/buckthornhub/connection/FakeFleet.kt
@@ -50,7 +50,7 @@
     var isCutOff = false
     private val pool = PoolTask(
         PoolSettings(ZoneId("a")),
-        { instance, _, _, _ -> Ok(FakeLink(instances.first { it.record.target == instance.target })) },
+        { instance, organisation, _, _ -> Ok(FakeLink(instances.first { it.record.target == instance.target }, organisation)) },
         clock,
     )
     private val view = MutableStateFlow(ProxyView(table, confirmedAt(), directory = directory(), leasedAt = confirmedAt()))
--- a/daemon/src/test/kotlin/org/buckthornhub/connection/FakeInstance.kt
+++ b/daemon/src/test/kotlin/org/buckthornhub/connection/FakeInstance.kt
@@ -6,6 +6,7 @@
 import org.buckthornhub.group.LogPosition
 import org.buckthornhub.group.Position
 import org.buckthornhub.group.Term
+import org.buckthornhub.organisation.OrganisationId
 import org.buckthornhub.target.TargetId
 import org.buckthornhub.target.TargetRole
 
@@ -32,12 +33,29 @@
     )
     var ran: List<String> = emptyList()
         private set
+
+    /** Organisations whose connections the statements of [ran] came on, in the same order. */
+    var ranFor: List<OrganisationId> = emptyList()
+        private set
     var commits = 0
         private set
+
+    /** Transactions that are neither committed nor rolled back, and whose connection is open. */
+    var openTransactions = 0
+        private set
     val position: Position get() = Position(Term(1), LogPosition(applied))
 
-    fun run(text: String) {
+    fun run(text: String, organisation: OrganisationId) {
         ran = ran + text
+        ranFor = ranFor + organisation
+    }
+
+    fun transactionBegan() {
+        openTransactions += 1
+    }
+
+    fun transactionEnded() {
+        openTransactions -= 1
     }
 
     fun commit() {
--- a/daemon/src/test/kotlin/org/buckthornhub/connection/FakeLink.kt
+++ b/daemon/src/test/kotlin/org/buckthornhub/connection/FakeLink.kt
@@ -6,11 +6,15 @@
 import kotlinx.coroutines.delay
 import org.buckthornhub.group.Position
 import org.buckthornhub.horizon.CommitTimeline
+import org.buckthornhub.organisation.OrganisationId
 import org.buckthornhub.statement.Access
 import org.buckthornhub.target.TargetRole
 
-/** A connection to a [FakeInstance]. */
-internal class FakeLink(private val instance: FakeInstance) : TargetLink {
+/** A connection of [organisation] to a [FakeInstance]. */
+internal class FakeLink(
+    private val instance: FakeInstance,
+    private val organisation: OrganisationId,
+) : TargetLink {
     private var phase = SessionPhase.IDLE
     private var isReadWrite = false
     private var hasWritten = false
@@ -42,12 +46,14 @@
 
     override fun close() {
         isOpen = false
+        endTransaction()
     }
 
     private fun begin(statement: TargetStatement.Begin): Result<TargetReply, TargetLinkFailure> {
         if (!statement.readOnly && instance.role != TargetRole.PRIMARY) return Ok(refused(TargetRefusal.NOT_LEADING))
         if (isBehind(statement.floor)) return Ok(refused(TargetRefusal.BEHIND))
         phase = SessionPhase.IN_TRANSACTION
+        instance.transactionBegan()
         isReadWrite = !statement.readOnly
         return Ok(completed(emptyList()))
     }
@@ -66,7 +72,7 @@
             FakeFault.NOT_SENT -> notSent()
             FakeFault.BUSY, FakeFault.NOT_LEADING, FakeFault.OTHER_INSTANCE, FakeFault.PREPARED_UNKNOWN -> Ok(refused(fault))
             FakeFault.FAILED -> {
-                instance.run(text)
+                instance.run(text, organisation)
                 Ok(failed(TargetRefusal.FAILED))
             }
             FakeFault.ANSWER_LOST, FakeFault.TIMED_OUT, FakeFault.IN_DOUBT, FakeFault.OTHER_CODE, null -> ran(text, isWrite, fault)
@@ -74,7 +80,7 @@
     }
 
     private fun ran(text: String, isWrite: Boolean, fault: FakeFault?): Result<TargetReply, TargetLinkFailure> {
-        instance.run(text)
+        instance.run(text, organisation)
         if (isWrite && phase == SessionPhase.IDLE) instance.commit()
         hasWritten = hasWritten || isWrite
         return when (fault) {
@@ -106,11 +112,16 @@
     }
 
     private fun ended(): TargetReply {
-        phase = SessionPhase.IDLE
+        endTransaction()
         hasWritten = false
         return completed(emptyList())
     }
 
+    private fun endTransaction() {
+        if (phase != SessionPhase.IDLE) instance.transactionEnded()
+        phase = SessionPhase.IDLE
+    }
+
     private fun isBehind(floor: Position?) = floor != null && CommitTimeline.compare(instance.position, floor) < 0
 
     private fun failed(refusal: TargetRefusal): TargetReply {
