Check the key again when a waiting statement gets its connection

What callers saw: a statement that waited for a connection, or was tried again after a lost answer, ran for the organisation that had held its key when it was received, though the key had been moved or withdrawn meanwhile. This also holds for the first statement of a transaction and a COMMIT without statements.

Cause: the admission was made once, before the waits for a token and for a connection, and used for all attempts.

Ruled out: a wrong connection (the pool lends one of the organisation that it is asked for) and a wrong refund (the token goes back to the organisation of the admission; read, not tested).

Change: AdmittedConnections asks AdmissionRules again by the newest route table when the pool hands a connection over. If the holder has changed, nothing is sent and the caller gets what a new statement would get, or QUEUE_FULL, which says "not run" and is repeated; after an attempt whose answer was lost, the error of that attempt. A change of the route alone refuses nothing, as it applies to what is admitted later.

The cost on the path of a statement, two look-ups in maps for each connection that is handed over, was not measured.

Conclusion: no statement is begun for an organisation that is known to have lost the key. The round trips of the begin and of the set-up remain.

--- a/core/src/main/kotlin/org/buckthornhub/connection/AdmissionRules.kt
+++ b/core/src/main/kotlin/org/buckthornhub/connection/AdmissionRules.kt
@@ -3,6 +3,7 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getError
 import com.github.michaelbull.result.getOrElse
 import org.buckthornhub.error.ErrorKind
 import org.buckthornhub.error.ProxyError
@@ -31,4 +32,16 @@
         if (caller.organisation == organisation) return null
         return ProxyError(ErrorKind.TRANSACTION_ABORTED, "the key no longer belongs to the organisation that began the transaction")
     }
+
+    /**
+     * Returns why a statement that was admitted for [organisation], and of which nothing was sent, must not run; null if it may.
+     *
+     * A change of its route alone is no reason: it applies to the statements that are admitted after it.
+     */
+    public fun refusalAfterWait(organisation: OrganisationId, table: RouteTable, database: DatabaseName, key: KeyDigest): ProxyError? {
+        val holder = table.holderOf(key)?.organisation ?: OrganisationId.NONE
+        if (holder == organisation) return null
+        admit(table, database, key).getError()?.let { return it }
+        return ProxyError(ErrorKind.QUEUE_FULL, "the holder of the key changed while the statement waited; nothing was sent")
+    }
 }
--- a/core/src/test/kotlin/org/buckthornhub/connection/AdmissionRulesTest.kt
+++ b/core/src/test/kotlin/org/buckthornhub/connection/AdmissionRulesTest.kt
@@ -35,12 +35,21 @@
         if (refusal != null) assertTrue(ErrorTable.answerTo(refusal.kind).execution in nothingKept)
     }
 
+    @ParameterizedTest
+    @MethodSource("cases")
+    fun `a statement that has waited runs for the organisation that it was admitted for, or not at all`(case: AdmissionCase) {
+        val refusal = AdmissionRules.refusalAfterWait(OrganisationId(case.organisation), tableOf(case), database, key)
+        assertEquals(case.afterWait, refusal?.kind)
+        if (refusal != null) assertEquals(Execution.NOT_RUN, ErrorTable.answerTo(refusal.kind).execution)
+    }
+
     private companion object {
         private val key = KeyDigest.of(ApiKey("key"))
         private val database = DatabaseName("d")
         private val nothingKept = setOf(Execution.NOT_RUN, Execution.NO_EFFECT)
         private val aborted = ErrorKind.TRANSACTION_ABORTED
         private val keyUnknown = ErrorKind.KEY_UNKNOWN
+        private val full = ErrorKind.QUEUE_FULL
         private val databaseUnknown = ErrorKind.DATABASE_UNKNOWN
 
         private fun tableOf(case: AdmissionCase): RouteTable {
@@ -56,18 +65,19 @@
 
         @JvmStatic
         fun cases(): List<AdmissionCase> = listOf(
-            AdmissionCase("the key is where it was", "o", "o", false, "o", null),
-            AdmissionCase("the key moved", "o", "p", false, "p", aborted),
-            AdmissionCase("the key was withdrawn", "o", null, false, null, keyUnknown),
-            AdmissionCase("the key is where it was, the route is anonymous", "o", "o", true, "o", null),
-            AdmissionCase("the key moved, the route is anonymous", "o", "p", true, "p", aborted),
-            AdmissionCase("the key was withdrawn, the route is anonymous", "o", null, true, "-", aborted),
-            AdmissionCase("no key, the route is anonymous", "-", null, true, "-", null),
-            AdmissionCase("no key, given out, the route is anonymous", "-", "p", true, "p", aborted),
-            AdmissionCase("no key, given out, the route is no longer anonymous", "-", "p", false, "p", aborted),
-            AdmissionCase("no key, the route is no longer anonymous", "-", null, false, null, keyUnknown),
-            AdmissionCase("the route is gone", "o", "o", null, null, databaseUnknown),
-            AdmissionCase("the route is gone and the key moved", "o", "p", null, null, databaseUnknown),
+            AdmissionCase("the key is where it was", "o", "o", false, "o", null, null),
+            AdmissionCase("the key moved", "o", "p", false, "p", aborted, full),
+            AdmissionCase("the key was withdrawn", "o", null, false, null, keyUnknown, keyUnknown),
+            AdmissionCase("the key is where it was, the route is anonymous", "o", "o", true, "o", null, null),
+            AdmissionCase("the key moved, the route is anonymous", "o", "p", true, "p", aborted, full),
+            AdmissionCase("the key was withdrawn, the route is anonymous", "o", null, true, "-", aborted, full),
+            AdmissionCase("no key, the route is anonymous", "-", null, true, "-", null, null),
+            AdmissionCase("no key, given out, the route is anonymous", "-", "p", true, "p", aborted, full),
+            AdmissionCase("no key, given out, the route is no longer anonymous", "-", "p", false, "p", aborted, full),
+            AdmissionCase("no key, the route is no longer anonymous", "-", null, false, null, keyUnknown, null),
+            AdmissionCase("the route is gone", "o", "o", null, null, databaseUnknown, null),
+            AdmissionCase("the route is gone and the key moved", "o", "p", null, null, databaseUnknown, databaseUnknown),
+            AdmissionCase("the route is gone and the key was withdrawn", "o", null, null, null, databaseUnknown, databaseUnknown),
         )
     }
 }
--- a/daemon/src/main/kotlin/org/buckthornhub/connection/Admission.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/Admission.kt
@@ -6,11 +6,13 @@
 /**
  * An admitted operation: its route and the organisation that it runs for.
  *
+ * @property caller by which the organisation is looked up again after a wait
  * @property receivedMillis local monotonic time at which the statement was received or, for a retry, at which the attempt began
  */
 internal data class Admission(
     val route: DatabaseRoute,
     val organisation: OrganisationId,
+    val caller: CallerIdentity,
     val receivedMillis: Long,
 ) {
     /** Returns this admission for a statement that is received, or retried, at [nowMillis]. */
--- a/daemon/src/main/kotlin/org/buckthornhub/connection/AdmissionGate.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/AdmissionGate.kt
@@ -19,7 +19,7 @@
     suspend fun check(caller: CallerIdentity): Result<Admission, ProxyError> {
         val receivedMillis = environment.clock.nowMillis()
         val table = freshTable().getOrElse { return Err(it) }
-        return AdmissionRules.admit(table, caller.database, caller.key).map { Admission(it.route, it.organisation, receivedMillis) }
+        return AdmissionRules.admit(table, caller.database, caller.key).map { Admission(it.route, it.organisation, caller, receivedMillis) }
     }
 
     /** Returns why the open transaction of [caller], which began for [organisation], must not go on; null if it may. */
--- a/daemon/src/main/kotlin/org/buckthornhub/connection/PrimaryStatementRunner.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/PrimaryStatementRunner.kt
@@ -16,6 +16,8 @@
 
 /** Runs single statements on the primary. */
 internal class PrimaryStatementRunner(private val environment: SessionEnvironment) {
+    private val connections = AdmittedConnections(environment)
+
     /** Runs a read inside a read-write transaction, which only the primary begins, so that a deposed primary never serves it. */
     suspend fun read(scope: CoroutineScope, work: DataStatement, id: RequestId, session: SessionState, admission: Admission): RunOutcome {
         val lease = acquire(admission).getOrElse { return RunOutcome.NoTarget(it) }
@@ -70,7 +72,7 @@
         if (!environment.authority.await(admission.acquireDeadlineMillis)) {
             return Err(ProxyError(ErrorKind.NO_PRIMARY, "this daemon has no lease for the use of primaries", LEASE_RETRY_MILLIS))
         }
-        val lease = environment.pool.acquire(requestFor(admission), admission.acquireDeadlineMillis).getOrElse { return Err(it) }
+        val lease = connections.acquire(requestFor(admission), admission).getOrElse { return Err(it) }
         if (environment.authority.allows(admission.route.group, lease.instance.target)) return Ok(lease)
         lease.release()
         return Err(ProxyError(ErrorKind.NO_PRIMARY, "${lease.instance.target} is being replaced", LEASE_RETRY_MILLIS))
--- a/daemon/src/main/kotlin/org/buckthornhub/connection/ReadRunner.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/ReadRunner.kt
@@ -14,6 +14,8 @@
 
 /** Runs single reads on any instance whose data is recent enough. */
 internal class ReadRunner(private val environment: SessionEnvironment) {
+    private val connections = AdmittedConnections(environment)
+
     suspend fun read(
         work: DataStatement,
         id: RequestId,
@@ -61,7 +63,7 @@
             admission.route.priority,
             excluded,
         )
-        return environment.pool.acquire(request, admission.acquireDeadlineMillis)
+        return connections.acquire(request, admission)
     }
 
     fun unknownFloorError(admission: Admission) =
