--- a/core/src/test/kotlin/org/buckthornhub/control/ControlStateMachineTest.kt
+++ b/core/src/test/kotlin/org/buckthornhub/control/ControlStateMachineTest.kt
@@ -52,8 +52,8 @@
         private fun grants(id: String, number: Long, vararg grants: Pair<String, Grant>) =
             ControlCommand.ChangeGrants(ChangeId(id), GrantList(number, grants.associate { (plan, grant) -> PlanId(plan) to grant }))
 
-        private fun give(id: String, name: String, secret: String = id) =
-            ControlCommand.GiveKey(ChangeId(id), name, OrganisationId("o"), KeyDigest.of(ApiKey(secret)))
+        private fun give(id: String, name: String, secret: String = id, organisation: String = "o") =
+            ControlCommand.GiveKey(ChangeId(id), name, OrganisationId(organisation), KeyDigest.of(ApiKey(secret)))
 
         private fun lead(expected: Long, term: Long, primary: String = "t$term") = ControlCommand.SetLeadership(
             Term(expected),
@@ -124,6 +124,18 @@
                 conflict("key k1 was withdrawn for organisation o; a name is used once"),
                 2,
             ),
+            MachineCase(
+                "a key given to another organisation under another name",
+                listOf(give("k", "k1", "x"), give("l", "k2", "x", organisation = "p")),
+                conflict("key k1 was given for organisation o; a name is used once"),
+                1,
+            ),
+            MachineCase(
+                "a withdrawn key given to another organisation under another name",
+                listOf(give("k", "k1", "x"), ControlCommand.WithdrawKey("k1"), give("l", "k2", "x", organisation = "p")),
+                conflict("key k1 was withdrawn for organisation o; a name is used once"),
+                2,
+            ),
             MachineCase(
                 "resend of an issue does not undo the withdrawal",
                 listOf(give("k", "k1"), ControlCommand.WithdrawKey("k1"), give("k", "k1"), ControlCommand.WithdrawKey("k1")),
