Take positions only from answers that a primary alone gives

Cause: each answer in a read-write transaction counted as the position of the primary. The users' page has one exception: an instance that has lost the lead still answers the COMMIT of a transaction that wrote nothing, with its own old position. Class of fault: a position from an answer that doesn't prove what the position is used for.

Ruled out: ROLLBACK, which was never taken; probes and single writes, which a replica refuses; positions shared by other daemons, which are those that each of them took itself.

Change: AnsweredStatement (core) says which answers prove the lead, and CommitTimelineTask.observe, the only way into the timeline, asks it. What the caller of such a COMMIT is told is as before. Its BEGIN and statements have set the position already, so no probe more is needed.

Conclusion: an answer sets a position only if no replaced primary gives it.

--- a/daemon/src/main/kotlin/org/buckthornhub/connection/PrimaryStatementRunner.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/PrimaryStatementRunner.kt
@@ -8,6 +8,8 @@
 import kotlinx.coroutines.launch
 import org.buckthornhub.error.ErrorKind
 import org.buckthornhub.error.ProxyError
+import org.buckthornhub.horizon.AnsweredStatement
+import org.buckthornhub.horizon.TransactionMode
 import org.buckthornhub.instancepool.ConnectionRequest
 import org.buckthornhub.instancepool.ConnectionRequirement
 import org.buckthornhub.instancepool.TargetLease
@@ -26,7 +28,7 @@
         val begun = lease.run(TargetStatement.Begin(readOnly = false, floor = null), timeoutMillis)
             .getOrElse { return answerLost(lease, it) }
         if (begun is TargetReply.Refused) return refused(lease, begun)
-        observe(admission, lease, sentMillis, begun)
+        observe(admission, lease, sentMillis, AnsweredStatement.Begin(readOnly = false), begun)
         val reply = lease.prepareAndRun(work, id, session, floor = null, timeoutMillis).getOrElse { return answerLost(lease, it) }
         if (reply !is TargetReply.Completed) {
             scope.launch { rollBack(lease, timeoutMillis) }
@@ -46,8 +48,9 @@
             return RunOutcome.Final(inDoubt(lease, "gave no answer: ${failure.detail}"))
         }
         lease.release()
+        val answered = AnsweredStatement.Work(work.access, TransactionMode.NONE)
         return when (reply) {
-            is TargetReply.Completed -> if (observe(admission, lease, sentMillis, reply)) {
+            is TargetReply.Completed -> if (observe(admission, lease, sentMillis, answered, reply)) {
                 RunOutcome.Done(reply, lease)
             } else {
                 RunOutcome.Final(inDoubt(lease, "may have been replaced first"))
@@ -78,10 +81,10 @@
         return Err(ProxyError(ErrorKind.NO_PRIMARY, "${lease.instance.target} is being replaced", LEASE_RETRY_MILLIS))
     }
 
-    /** Records the position in an answer of the primary; returns false if another instance may have been promoted before the answer. */
-    fun observe(admission: Admission, lease: TargetLease, sentMillis: Long, reply: TargetReply): Boolean {
+    /** Records the position in the answer to [answered]; returns false if another instance may have been promoted before the answer. */
+    fun observe(admission: Admission, lease: TargetLease, sentMillis: Long, answered: AnsweredStatement, reply: TargetReply): Boolean {
         val isPrimary = environment.authority.allows(admission.route.group, lease.instance.target)
-        if (isPrimary) environment.commitTimelines.observe(admission.route.group, sentMillis, reply.position)
+        if (isPrimary) environment.commitTimelines.observe(admission.route.group, sentMillis, answered, reply.position)
         return isPrimary
     }
 
--- a/daemon/src/main/kotlin/org/buckthornhub/connection/TransactionRunner.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/TransactionRunner.kt
@@ -11,6 +11,8 @@
 import kotlinx.coroutines.launch
 import org.buckthornhub.error.ErrorKind
 import org.buckthornhub.error.ProxyError
+import org.buckthornhub.horizon.AnsweredStatement
+import org.buckthornhub.horizon.TransactionMode
 import org.buckthornhub.instancepool.TargetLease
 import org.buckthornhub.routetable.ReadGuarantee
 import org.buckthornhub.statement.RequestId
@@ -45,7 +47,8 @@
         val sentMillis = environment.clock.nowMillis()
         val reply = lease.prepareAndRun(work, id, session, floor = null, timeoutMillis)
             .getOrElse { return Err(failureOf(aborted(lease, it), sentMillis)) }
-        return settle(lease, reply, sentMillis).mapError { failureOf(it, sentMillis) }
+        return settle(lease, reply, sentMillis, AnsweredStatement.Work(work.access, TransactionMode.READ_WRITE))
+            .mapError { failureOf(it, sentMillis) }
     }
 
     /** Commits. Fails with `OUTCOME_UNKNOWN` if the commit may have taken effect; on any other error the transaction is rolled back. */
@@ -57,7 +60,7 @@
             return Err(failureOf(if (open.hasWritten && failure.mayHaveRun) inDoubt(aborted) else aborted, sentMillis))
         }
         if (reply is TargetReply.Completed) release(lease)
-        return settle(lease, reply, sentMillis).mapError { failure ->
+        return settle(lease, reply, sentMillis, AnsweredStatement.Commit(open.hasWritten)).mapError { failure ->
             val isReplaced = reply is TargetReply.Completed && open.hasWritten
             failureOf(if (isReplaced) inDoubt(failure) else failure, sentMillis)
         }
@@ -73,10 +76,15 @@
         }
     }
 
-    private fun settle(lease: TargetLease, reply: TargetReply, sentMillis: Long): Result<TargetReply.Completed, AttemptFailure> {
+    private fun settle(
+        lease: TargetLease,
+        reply: TargetReply,
+        sentMillis: Long,
+        answered: AnsweredStatement,
+    ): Result<TargetReply.Completed, AttemptFailure> {
         if (reply is TargetReply.Completed) {
-            // Each answer in a read-write transaction proves that the instance was still primary.
-            return if (!isOnPrimary || primaryRunner.observe(admission, lease, sentMillis, reply)) Ok(reply) else Err(replaced(lease))
+            val isPrimary = !isOnPrimary || primaryRunner.observe(admission, lease, sentMillis, answered, reply)
+            return if (isPrimary) Ok(reply) else Err(replaced(lease))
         }
         val refused = reply as TargetReply.Refused
         if (refused.refusal == TargetRefusal.NOT_LEADING) environment.pool.demote(lease.instance.target)
@@ -160,7 +168,7 @@
             return Err(RunOutcome.Retry(AttemptFailure.NotRun(target, TargetErrors.of(target, reply)), isTargetAvoided = true))
         }
         isOnPrimary = floor == null
-        if (isOnPrimary) primaryRunner.observe(admission, lease, sentMillis, reply)
+        if (isOnPrimary) primaryRunner.observe(admission, lease, sentMillis, AnsweredStatement.Begin(readOnly = false), reply)
         return Ok(lease)
     }
 
--- a/daemon/src/main/kotlin/org/buckthornhub/horizon/CommitTimelineTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/horizon/CommitTimelineTask.kt
@@ -57,9 +57,10 @@
         it.primary != null
     }.let { known -> known.count { it.isUnresponsive } * 2 > known.size }
 
-    /** Records the [position] in an answer to a statement that only a primary runs and that was sent no earlier than [sentMillis]. */
-    fun observe(group: GroupId, sentMillis: Long, position: Position?) {
-        if (position != null) offer(CommitTimelineMessage.Observed(group, CommitSample(sentMillis, position)))
+    /** Takes the [position] in the answer to [answered], which was sent at [sentMillis], if only a primary gives that answer. */
+    fun observe(group: GroupId, sentMillis: Long, answered: AnsweredStatement, position: Position?) {
+        if (position == null || !answered.provesPrimary) return
+        offer(CommitTimelineMessage.Observed(group, CommitSample(sentMillis, position)))
     }
 
     /** Returns the position that [floorOf] computes; waits until [deadlineMillis] for an answer of the primary if it yields null. */
@@ -134,12 +135,12 @@
         }
     }
 
-    // Only a primary begins a read-write transaction, so its answer proves that it was the primary at that time.
     private suspend fun probe(group: GroupId): Boolean {
         val request = ConnectionRequest(group, organisation = null, ConnectionRequirement.Primary)
         val lease = pool.acquire(request, clock.nowMillis() + TIMEOUT_MILLIS).getOrElse { return false }
         val sentMillis = clock.nowMillis()
-        val reply = lease.run(TargetStatement.Begin(readOnly = false, floor = null), TIMEOUT_MILLIS).getOrElse {
+        val begin = TargetStatement.Begin(readOnly = false, floor = null)
+        val reply = lease.run(begin, TIMEOUT_MILLIS).getOrElse {
             lease.release()
             return false
         }
@@ -147,7 +148,8 @@
             pool.demote(lease.instance.target)
         }
         if (reply is TargetReply.Completed) {
-            if (authority.allows(group, lease.instance.target)) observe(group, sentMillis, reply.position)
+            val answered = AnsweredStatement.Begin(begin.readOnly)
+            if (authority.allows(group, lease.instance.target)) observe(group, sentMillis, answered, reply.position)
             lease.run(TargetStatement.RollBack, TIMEOUT_MILLIS)
         }
         lease.release()
--- a/daemon/src/test/kotlin/org/buckthornhub/connection/FakeFleet.kt
+++ b/daemon/src/test/kotlin/org/buckthornhub/connection/FakeFleet.kt
@@ -14,6 +14,7 @@
 import org.buckthornhub.fleet.ZoneId
 import org.buckthornhub.group.GroupId
 import org.buckthornhub.group.PrimaryDesignation
+import org.buckthornhub.horizon.CommitSample
 import org.buckthornhub.horizon.CommitTimelineMessage
 import org.buckthornhub.horizon.CommitTimelineTask
 import org.buckthornhub.instancepool.PoolCommand
@@ -111,6 +112,12 @@
         suspendedMillis += millis
     }
 
+    /** Newest commit position that the daemon takes for the primary's. */
+    fun newestSample(): CommitSample? {
+        scope.testScheduler.runCurrent()
+        return commitTimelines.current()[GroupId("g")]?.timeline?.newest
+    }
+
     private fun confirmedAt() = ClockReading(clock.nowMillis(), clock.wallMillis())
 
     private fun directory() = instances.fold(InstanceDirectory()) { directory, instance -> directory.with(instance.record) }
