Count the age of a position on both clocks, also while its answer waits

Cause: a sample carried the time of sending on the monotonic clock, which stands still while a VM is suspended. What was known is dropped when the suspension is noticed, but an answer that arrives after that entered as if sent just before.

Ruled out: an answer that is handled before the suspension is noticed, since it is dropped with the rest; samples at rest, for the same reason.

Change: the time of sending is read on both clocks, and the larger age counts when the sample enters the timeline. So an answer that was held up is as old as it is, whatever the length of the suspension, without a threshold.

Conclusion: no answer that a suspension held up counts as younger than it is. Positions that are already known can look up to 200 ms younger, as before.

--- a/daemon/src/main/kotlin/org/buckthornhub/connection/PrimaryStatementRunner.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/PrimaryStatementRunner.kt
@@ -6,6 +6,7 @@
 import com.github.michaelbull.result.getOrElse
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
+import org.buckthornhub.coordination.ClockReading
 import org.buckthornhub.error.ErrorKind
 import org.buckthornhub.error.ProxyError
 import org.buckthornhub.horizon.AnsweredStatement
@@ -24,11 +25,11 @@
     suspend fun read(scope: CoroutineScope, work: DataStatement, id: RequestId, session: SessionState, admission: Admission): RunOutcome {
         val lease = acquire(admission).getOrElse { return RunOutcome.NoTarget(it) }
         val timeoutMillis = admission.attemptMillis
-        val sentMillis = environment.clock.nowMillis()
+        val sentAt = ClockReading.of(environment.clock)
         val begun = lease.run(TargetStatement.Begin(readOnly = false, floor = null), timeoutMillis)
             .getOrElse { return answerLost(lease, it) }
         if (begun is TargetReply.Refused) return refused(lease, begun)
-        observe(admission, lease, sentMillis, AnsweredStatement.Begin(readOnly = false), begun)
+        observe(admission, lease, sentAt, AnsweredStatement.Begin(readOnly = false), begun)
         val reply = lease.prepareAndRun(work, id, session, floor = null, timeoutMillis).getOrElse { return answerLost(lease, it) }
         if (reply !is TargetReply.Completed) {
             scope.launch { rollBack(lease, timeoutMillis) }
@@ -41,7 +42,7 @@
     /** Runs a write outside a transaction. It is retried only if nothing was sent or the target reported that it did not run. */
     suspend fun write(work: DataStatement, id: RequestId, session: SessionState, admission: Admission): RunOutcome {
         val lease = acquire(admission).getOrElse { return RunOutcome.NoTarget(it) }
-        val sentMillis = environment.clock.nowMillis()
+        val sentAt = ClockReading.of(environment.clock)
         val reply = lease.prepareAndRun(work, id, session, floor = null, admission.route.statementTimeoutMillis).getOrElse { failure ->
             lease.release()
             if (!failure.mayHaveRun) return RunOutcome.Retry(notRun(lease, failure), isTargetAvoided = true)
@@ -50,7 +51,7 @@
         lease.release()
         val answered = AnsweredStatement.Work(work.access, TransactionMode.NONE)
         return when (reply) {
-            is TargetReply.Completed -> if (observe(admission, lease, sentMillis, answered, reply)) {
+            is TargetReply.Completed -> if (observe(admission, lease, sentAt, answered, reply)) {
                 RunOutcome.Done(reply, lease)
             } else {
                 RunOutcome.Final(inDoubt(lease, "may have been replaced first"))
@@ -82,9 +83,9 @@
     }
 
     /** Records the position in the answer to [answered]; returns false if another instance may have been promoted before the answer. */
-    fun observe(admission: Admission, lease: TargetLease, sentMillis: Long, answered: AnsweredStatement, reply: TargetReply): Boolean {
+    fun observe(admission: Admission, lease: TargetLease, sentAt: ClockReading, answered: AnsweredStatement, reply: TargetReply): Boolean {
         val isPrimary = environment.authority.allows(admission.route.group, lease.instance.target)
-        if (isPrimary) environment.commitTimelines.observe(admission.route.group, sentMillis, answered, reply.position)
+        if (isPrimary) environment.commitTimelines.observe(admission.route.group, sentAt, answered, reply.position)
         return isPrimary
     }
 
--- a/daemon/src/main/kotlin/org/buckthornhub/connection/TransactionRunner.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/TransactionRunner.kt
@@ -9,6 +9,7 @@
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
+import org.buckthornhub.coordination.ClockReading
 import org.buckthornhub.error.ErrorKind
 import org.buckthornhub.error.ProxyError
 import org.buckthornhub.horizon.AnsweredStatement
@@ -44,25 +45,25 @@
         open: TransactionState.Open,
     ): Result<TargetReply.Completed, StatementFailure> {
         val lease = leaseFor(session, open).getOrElse { return Err(it) }
-        val sentMillis = environment.clock.nowMillis()
+        val sentAt = ClockReading.of(environment.clock)
         val reply = lease.prepareAndRun(work, id, session, floor = null, timeoutMillis)
-            .getOrElse { return Err(failureOf(aborted(lease, it), sentMillis)) }
-        return settle(lease, reply, sentMillis, AnsweredStatement.Work(work.access, TransactionMode.READ_WRITE))
-            .mapError { failureOf(it, sentMillis) }
+            .getOrElse { return Err(failureOf(aborted(lease, it), sentAt)) }
+        return settle(lease, reply, sentAt, AnsweredStatement.Work(work.access, TransactionMode.READ_WRITE))
+            .mapError { failureOf(it, sentAt) }
     }
 
     /** Commits. Fails with `OUTCOME_UNKNOWN` if the commit may have taken effect; on any other error the transaction is rolled back. */
     suspend fun commit(id: RequestId, session: SessionState, open: TransactionState.Open): Result<TargetReply.Completed, StatementFailure> {
         val lease = leaseFor(session, open).getOrElse { return Err(it) }
-        val sentMillis = environment.clock.nowMillis()
+        val sentAt = ClockReading.of(environment.clock)
         val reply = lease.run(TargetStatement.Commit(id), timeoutMillis).getOrElse { failure ->
             val aborted = aborted(lease, failure)
-            return Err(failureOf(if (open.hasWritten && failure.mayHaveRun) inDoubt(aborted) else aborted, sentMillis))
+            return Err(failureOf(if (open.hasWritten && failure.mayHaveRun) inDoubt(aborted) else aborted, sentAt))
         }
         if (reply is TargetReply.Completed) release(lease)
-        return settle(lease, reply, sentMillis, AnsweredStatement.Commit(open.hasWritten)).mapError { failure ->
+        return settle(lease, reply, sentAt, AnsweredStatement.Commit(open.hasWritten)).mapError { failure ->
             val isReplaced = reply is TargetReply.Completed && open.hasWritten
-            failureOf(if (isReplaced) inDoubt(failure) else failure, sentMillis)
+            failureOf(if (isReplaced) inDoubt(failure) else failure, sentAt)
         }
     }
 
@@ -79,11 +80,11 @@
     private fun settle(
         lease: TargetLease,
         reply: TargetReply,
-        sentMillis: Long,
+        sentAt: ClockReading,
         answered: AnsweredStatement,
     ): Result<TargetReply.Completed, AttemptFailure> {
         if (reply is TargetReply.Completed) {
-            val isPrimary = !isOnPrimary || primaryRunner.observe(admission, lease, sentMillis, answered, reply)
+            val isPrimary = !isOnPrimary || primaryRunner.observe(admission, lease, sentAt, answered, reply)
             return if (isPrimary) Ok(reply) else Err(replaced(lease))
         }
         val refused = reply as TargetReply.Refused
@@ -120,8 +121,8 @@
         return AttemptFailure.MayHaveRun(target, commit.error.copy(kind = ErrorKind.OUTCOME_UNKNOWN))
     }
 
-    private fun failureOf(attempt: AttemptFailure, sentMillis: Long): StatementFailure =
-        StatementFailure.of(persistentListOf(attempt.took(environment.clock.nowMillis() - sentMillis)))
+    private fun failureOf(attempt: AttemptFailure, sentAt: ClockReading): StatementFailure =
+        StatementFailure.of(persistentListOf(attempt.took(environment.clock.nowMillis() - sentAt.monotonicMillis)))
 
     private suspend fun leaseFor(session: SessionState, open: TransactionState.Open): Result<TargetLease, StatementFailure> {
         lease?.let { return Ok(it) }
@@ -156,7 +157,7 @@
         val lease = acquired.getOrElse { return Err(RunOutcome.NoTarget(it)) }
         hasAcquiredTarget = true
         val target = lease.instance.target
-        val sentMillis = environment.clock.nowMillis()
+        val sentAt = ClockReading.of(environment.clock)
         val reply = lease.run(TargetStatement.Begin(readOnly = floor != null, floor), admission.attemptMillis).getOrElse {
             lease.release()
             val error = ProxyError(ErrorKind.NO_TARGET, "$target did not begin a transaction: ${it.detail}")
@@ -168,7 +169,7 @@
             return Err(RunOutcome.Retry(AttemptFailure.NotRun(target, TargetErrors.of(target, reply)), isTargetAvoided = true))
         }
         isOnPrimary = floor == null
-        if (isOnPrimary) primaryRunner.observe(admission, lease, sentMillis, AnsweredStatement.Begin(readOnly = false), reply)
+        if (isOnPrimary) primaryRunner.observe(admission, lease, sentAt, AnsweredStatement.Begin(readOnly = false), reply)
         return Ok(lease)
     }
 
--- a/daemon/src/main/kotlin/org/buckthornhub/coordination/ClockReading.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/coordination/ClockReading.kt
@@ -1,5 +1,7 @@
 package org.buckthornhub.coordination
 
+import org.buckthornhub.clock.Clock
+
 /**
  * A time on both clocks of a daemon, such as the time at which a majority of the control quorum confirmed its state.
  *
@@ -10,4 +12,8 @@
     val wallMillis: Long,
 ) {
     fun ageMillis(nowMillis: Long, nowWallMillis: Long): Long = maxOf(nowMillis - monotonicMillis, nowWallMillis - wallMillis)
+
+    companion object {
+        fun of(clock: Clock): ClockReading = ClockReading(clock.nowMillis(), clock.wallMillis())
+    }
 }
--- a/daemon/src/main/kotlin/org/buckthornhub/horizon/CommitTimelineMessage.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/horizon/CommitTimelineMessage.kt
@@ -1,14 +1,17 @@
 package org.buckthornhub.horizon
 
+import org.buckthornhub.coordination.ClockReading
 import org.buckthornhub.group.GroupId
+import org.buckthornhub.group.Position
 import org.buckthornhub.target.TargetId
 
 /** Messages handled by [CommitTimelineTask]. */
 internal sealed interface CommitTimelineMessage {
-    /** The primary of [group] reported a position. */
+    /** The primary of [group] answered a statement that was sent at [sentAt] and reported [position]. */
     data class Observed(
         val group: GroupId,
-        val sample: CommitSample,
+        val sentAt: ClockReading,
+        val position: Position,
     ) : CommitTimelineMessage
 
     /** Other daemons have shared positions. */
--- a/daemon/src/main/kotlin/org/buckthornhub/horizon/CommitTimelineTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/horizon/CommitTimelineTask.kt
@@ -17,6 +17,7 @@
 import org.buckthornhub.connection.TargetRefusal
 import org.buckthornhub.connection.TargetReply
 import org.buckthornhub.connection.TargetStatement
+import org.buckthornhub.coordination.ClockReading
 import org.buckthornhub.fleet.StateSource
 import org.buckthornhub.group.GroupId
 import org.buckthornhub.group.Position
@@ -57,10 +58,10 @@
         it.primary != null
     }.let { known -> known.count { it.isUnresponsive } * 2 > known.size }
 
-    /** Takes the [position] in the answer to [answered], which was sent at [sentMillis], if only a primary gives that answer. */
-    fun observe(group: GroupId, sentMillis: Long, answered: AnsweredStatement, position: Position?) {
+    /** Takes the [position] in the answer to [answered], which was sent at [sentAt], if only a primary gives that answer. */
+    fun observe(group: GroupId, sentAt: ClockReading, answered: AnsweredStatement, position: Position?) {
         if (position == null || !answered.provesPrimary) return
-        offer(CommitTimelineMessage.Observed(group, CommitSample(sentMillis, position)))
+        offer(CommitTimelineMessage.Observed(group, sentAt, position))
     }
 
     /** Returns the position that [floorOf] computes; waits until [deadlineMillis] for an answer of the primary if it yields null. */
@@ -80,9 +81,7 @@
     }
 
     override suspend fun handle(message: CommitTimelineMessage): Unit = when (message) {
-        is CommitTimelineMessage.Observed -> update(message.group) {
-            copy(timeline = timeline.with(message.sample), ownSample = newer(ownSample, message.sample), isUnresponsive = false)
-        }
+        is CommitTimelineMessage.Observed -> observed(message)
         is CommitTimelineMessage.Shared -> message.samples.forEach { (group, sample) ->
             update(group) { copy(timeline = timeline.with(sample)) }
         }
@@ -98,6 +97,13 @@
         is CommitTimelineMessage.Tick -> published.value.filter { (_, it) -> isDue(it) }.keys.forEach { startProbe(it) }
     }
 
+    // The age counts on both clocks, since the VM may have been suspended between the statement and the answer.
+    private fun observed(message: CommitTimelineMessage.Observed) {
+        val nowMillis = clock.nowMillis()
+        val sample = CommitSample(nowMillis - message.sentAt.ageMillis(nowMillis, clock.wallMillis()), message.position)
+        update(message.group) { copy(timeline = timeline.with(sample), ownSample = newer(ownSample, sample), isUnresponsive = false) }
+    }
+
     private fun forgetAfterSuspension() {
         if (!suspensions.checkAndReset()) return
         logger.warn { "this VM was suspended or its wall clock was set forward; known commit positions are discarded" }
@@ -138,7 +144,7 @@
     private suspend fun probe(group: GroupId): Boolean {
         val request = ConnectionRequest(group, organisation = null, ConnectionRequirement.Primary)
         val lease = pool.acquire(request, clock.nowMillis() + TIMEOUT_MILLIS).getOrElse { return false }
-        val sentMillis = clock.nowMillis()
+        val sentAt = ClockReading.of(clock)
         val begin = TargetStatement.Begin(readOnly = false, floor = null)
         val reply = lease.run(begin, TIMEOUT_MILLIS).getOrElse {
             lease.release()
@@ -149,7 +155,7 @@
         }
         if (reply is TargetReply.Completed) {
             val answered = AnsweredStatement.Begin(begin.readOnly)
-            if (authority.allows(group, lease.instance.target)) observe(group, sentMillis, answered, reply.position)
+            if (authority.allows(group, lease.instance.target)) observe(group, sentAt, answered, reply.position)
             lease.run(TargetStatement.RollBack, TIMEOUT_MILLIS)
         }
         lease.release()
--- a/daemon/src/test/kotlin/org/buckthornhub/connection/FakeFleet.kt
+++ b/daemon/src/test/kotlin/org/buckthornhub/connection/FakeFleet.kt
@@ -118,6 +118,14 @@
         return commitTimelines.current()[GroupId("g")]?.timeline?.newest
     }
 
+    /** Returns the daemon's monotonic time. */
+    fun nowMillis(): Long = clock.nowMillis()
+
+    /** Lets the daemon notice a suspension, as each report does. */
+    fun noticeSuspension() {
+        commitTimelines.current()
+    }
+
     private fun confirmedAt() = ClockReading(clock.nowMillis(), clock.wallMillis())
 
     private fun directory() = instances.fold(InstanceDirectory()) { directory, instance -> directory.with(instance.record) }
--- a/daemon/src/test/kotlin/org/buckthornhub/connection/FakeInstance.kt
+++ b/daemon/src/test/kotlin/org/buckthornhub/connection/FakeInstance.kt
@@ -31,6 +31,9 @@
         startedWallMillis = 1,
         sequence = 1,
     )
+
+    /** Called with each statement once its answer is made and before the answer arrives. */
+    var onAnswer: (TargetStatement) -> Unit = {}
     var ran: List<String> = emptyList()
         private set
 
--- a/daemon/src/test/kotlin/org/buckthornhub/connection/FakeLink.kt
+++ b/daemon/src/test/kotlin/org/buckthornhub/connection/FakeLink.kt
@@ -26,22 +26,24 @@
     override suspend fun run(statement: TargetStatement, timeoutMillis: Long): Result<TargetReply, TargetLinkFailure> {
         if (!isOpen) return Err(TargetLinkFailure(mayHaveRun = false, isSilent = false, "ended"))
         delay(1)
-        return when (statement) {
-            is TargetStatement.Begin -> begin(statement)
-            is TargetStatement.Run -> work(statement.text, statement.floor, statement.text.startsWith("WRITE"), timeoutMillis)
-            is TargetStatement.Execute -> {
-                val found = prepared[statement.name] ?: return Ok(refused(TargetRefusal.PREPARED_UNKNOWN))
-                val isWrite = found.access == Access.WRITE
-                work("${found.template} ${statement.arguments}", statement.floor, isWrite, timeoutMillis)
-            }
-            is TargetStatement.Commit -> commit(timeoutMillis)
-            is TargetStatement.RollBack -> {
-                instance.fault("ROLLBACK")
-                Ok(ended())
-            }
-            is TargetStatement.Setup -> Ok(setup(statement.step))
-            is TargetStatement.StepDown, is TargetStatement.Status -> Ok(completed(emptyList()))
+        return answer(statement, timeoutMillis).also { instance.onAnswer(statement) }
+    }
+
+    private suspend fun answer(statement: TargetStatement, timeoutMillis: Long): Result<TargetReply, TargetLinkFailure> = when (statement) {
+        is TargetStatement.Begin -> begin(statement)
+        is TargetStatement.Run -> work(statement.text, statement.floor, statement.text.startsWith("WRITE"), timeoutMillis)
+        is TargetStatement.Execute -> {
+            val found = prepared[statement.name] ?: return Ok(refused(TargetRefusal.PREPARED_UNKNOWN))
+            val isWrite = found.access == Access.WRITE
+            work("${found.template} ${statement.arguments}", statement.floor, isWrite, timeoutMillis)
+        }
+        is TargetStatement.Commit -> commit(timeoutMillis)
+        is TargetStatement.RollBack -> {
+            instance.fault("ROLLBACK")
+            Ok(ended())
         }
+        is TargetStatement.Setup -> Ok(setup(statement.step))
+        is TargetStatement.StepDown, is TargetStatement.Status -> Ok(completed(emptyList()))
     }
 
     override fun close() {
