Count positions from the control leader by both clocks of their report

What callers could see: a read on a bounded route could run on a replica that lacks commits, at a daemon whose VM was suspended while its report to the control leader was on its way (STALE; found by reading, shown by a unit test only).

Cause: the leader's times are converted by the time at which the report was sent, on the monotonic clock, which stands still during a suspension. Only the time that the leader held the report was left out then; the suspension itself was not taken off.

Ruled out: the other direction (LeaderClock.toLeader), as what a daemon learned before a suspension is dropped, and later times count from the answer.

Change: ProxyViewUpdater takes the time that the clock stood still off the earliest time of the answer.

Conclusion: positions from the leader are as old as their report.

--- a/daemon/src/main/kotlin/org/buckthornhub/coordination/ProxyViewUpdater.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/coordination/ProxyViewUpdater.kt
@@ -39,13 +39,15 @@
     private fun samples(clock: LeaderClock, reply: ProxyReportAnswer): Map<GroupId, CommitSample> =
         reply.positions.mapValues { (_, shared) -> CommitSample(clock.toLocal(shared.askedMillis), shared.position) }
 
-    // While this VM was suspended its monotonic clock stood still, so that the time that the report was held does not count here.
+    // While this VM was suspended its monotonic clock stood still: the report is older by that time, and the time that it was held
+    // does not count here.
     private fun leaderClock(sentAt: ClockReading, receivedAt: ClockReading, reply: ProxyReportAnswer): LeaderClock? {
         if (reply.designations == null) return null
         val elapsedMillis = receivedAt.monotonicMillis - sentAt.monotonicMillis
-        val wasSuspended = receivedAt.wallMillis - sentAt.wallMillis > elapsedMillis + MAX_CLOCK_DIFFERENCE_MILLIS
-        val heldMillis = if (wasSuspended) 0 else minOf(reply.heldMillis, elapsedMillis)
-        return LeaderClock(reply.controlTerm, reply.leaderMillis, sentAt.monotonicMillis + heldMillis, receivedAt.monotonicMillis)
+        val stillMillis = (receivedAt.wallMillis - sentAt.wallMillis - elapsedMillis).coerceAtLeast(0)
+        val heldMillis = if (stillMillis > MAX_CLOCK_DIFFERENCE_MILLIS) 0 else minOf(reply.heldMillis, elapsedMillis)
+        val earliestMillis = sentAt.monotonicMillis - stillMillis + heldMillis
+        return LeaderClock(reply.controlTerm, reply.leaderMillis, earliestMillis, receivedAt.monotonicMillis)
     }
 
     private fun newest(known: PrimaryDesignations, received: PrimaryDesignations?): PrimaryDesignations =
--- a/daemon/src/test/kotlin/org/buckthornhub/coordination/ProxyViewUpdaterTest.kt
+++ b/daemon/src/test/kotlin/org/buckthornhub/coordination/ProxyViewUpdaterTest.kt
@@ -2,11 +2,16 @@
 
 import org.buckthornhub.fleet.VmId
 import org.buckthornhub.group.GroupId
+import org.buckthornhub.group.LogPosition
+import org.buckthornhub.group.Position
 import org.buckthornhub.group.PrimaryDesignation
 import org.buckthornhub.group.PrimaryDesignations
+import org.buckthornhub.group.Term
+import org.buckthornhub.horizon.SharedPosition
 import org.buckthornhub.routetable.RouteTable
 import org.buckthornhub.target.TargetId
 import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
 import org.junit.jupiter.params.provider.MethodSource
 import kotlin.test.assertEquals
 
@@ -31,6 +36,21 @@
         assertEquals(case.leasedMillis?.plus(80_000), after.leasedAt?.wallMillis)
     }
 
+    @ParameterizedTest
+    @CsvSource("91000, 10300", "91500, 9400", "95000, 5900")
+    fun `a shared position is no younger than its report, also if the VM was suspended meanwhile`(wallMillis: Long, askedMillis: Long) {
+        val sentAt = ClockReading(monotonicMillis = 10_000, wallMillis = 90_000)
+        val shared = SharedPosition(Position(Term(1), LogPosition(7)), askedMillis = 49_900)
+        val reply = ProxyReportAnswer(
+            heldMillis = 400,
+            designations = designations(1),
+            leaderMillis = 50_000,
+            positions = mapOf(GroupId("g") to shared),
+        )
+        val after = ProxyViewUpdater.update(ProxyView(), VmId("a"), sentAt, receivedAt.copy(wallMillis = wallMillis), reply)
+        assertEquals(askedMillis, after.positions.getValue(GroupId("g")).askedMillis)
+    }
+
     private companion object {
         private val receivedAt = ClockReading(monotonicMillis = 11_000, wallMillis = 91_000)
 
