Bind the times that come back to a member to the run that gave them

Cause: a follower of the control quorum puts its monotonic time into its answers, and gets back the newest one after which a majority confirmed the leader. The clock may start anew with the VM, but the member keeps its disk and so its progress at the leader, which kept the highest time. The state of the restarted member counted as confirmed until its clock had passed the length of the former run.

Ruled out: a leader that loses power (its successor has no times), a member with another disk (it has a progress of its own).

Change: each run of a control VM has an id, chosen by the process at its start and given to the decider. Answers carry it beside the time, the leader keeps the time of the run that answered last and returns both, and the follower takes over only a time of its own run, after its start and not in its future. A message of a version without the id confirms nothing; the fields have defaults, and older versions skip them.

--- a/core/src/main/kotlin/org/buckthornhub/replication/FollowerReplication.kt
+++ b/core/src/main/kotlin/org/buckthornhub/replication/FollowerReplication.kt
@@ -13,7 +13,7 @@
         val matchIndex = message.previousIndex + message.entries.size
         val stored = if (merged === log) step else step.updateDurable { copy(log = merged) }
         val committed = LogCommitter.commitTo(stored, minOf(message.commitIndex, matchIndex))
-        val fresh = if (committed.state.commitIndex >= message.commitIndex) refresh(committed, message.confirmedEcho) else committed
+        val fresh = if (committed.state.commitIndex >= message.commitIndex) refresh(committed, message, nowMillis) else committed
         return answer(fresh, message.from, message.round, matchIndex, nowMillis)
     }
 
@@ -33,9 +33,10 @@
     private fun acceptLeader(start: Step, leader: Member, term: Long, nowMillis: Long): Step =
         Election.restartTimer(Election.follow(start, term, leader, nowMillis), nowMillis)
 
-    private fun refresh(step: Step, echo: Long?): Step {
+    private fun refresh(step: Step, message: PeerMessage.Append, nowMillis: Long): Step {
+        val echo = message.confirmedEcho?.takeIf { message.confirmedRun == step.state.run } ?: return step
         val known = step.state.freshMillis ?: step.state.resumedAtMillis
-        return if (echo == null || known >= echo) step else step.update { copy(freshMillis = echo) }
+        return if (echo in known + 1..nowMillis) step.update { copy(freshMillis = echo) } else step
     }
 
     private fun answer(step: Step, leader: Member, round: Long, matchIndex: Long?, nowMillis: Long): Step {
@@ -48,6 +49,7 @@
                 isMatched = matchIndex != null,
                 index = matchIndex ?: minOf(state.log.lastIndex, state.commitIndex),
                 echo = nowMillis,
+                run = state.run,
             )
         return step.send(leader, message)
     }
--- a/core/src/main/kotlin/org/buckthornhub/replication/LeaderReplication.kt
+++ b/core/src/main/kotlin/org/buckthornhub/replication/LeaderReplication.kt
@@ -65,7 +65,8 @@
                 previousTerm = previousTerm,
                 entries = entries,
                 commitIndex = state.commitIndex,
-                confirmedEcho = progress.confirmedEcho,
+                confirmedEcho = progress.confirmedEcho?.millis,
+                confirmedRun = progress.confirmedEcho?.run,
             )
         return step.send(member, message)
     }
@@ -85,13 +86,7 @@
         if (step.state.commitIndex > before.state.commitIndex) broadcast(step, nowMillis) else step
 
     private fun updateProgress(progress: Progress, message: PeerMessage.AppendAnswer, round: Long): Progress {
-        val isNewer = progress.echo == null || message.echo > progress.echo
-        val isPending = progress.confirmedEcho != progress.echo
-        val updated = progress.copy(
-            ackedRound = maxOf(progress.ackedRound, message.round),
-            echo = if (isNewer && !isPending) message.echo else progress.echo,
-            echoRound = if (isNewer && !isPending) round + 1 else progress.echoRound,
-        )
+        val updated = withEcho(progress, message, round).copy(ackedRound = maxOf(progress.ackedRound, message.round))
         if (!message.isMatched) {
             return updated.copy(
                 nextIndex = maxOf(progress.matchIndex + 1, minOf(progress.nextIndex - 1, message.index + 1)),
@@ -100,4 +95,15 @@
         val match = maxOf(progress.matchIndex, message.index)
         return updated.copy(matchIndex = match, nextIndex = maxOf(match + 1, progress.matchIndex + 1))
     }
+
+    // The clock of a follower may start anew with its run, so echoes of two runs are not compared: the one that arrived last counts.
+    private fun withEcho(progress: Progress, message: PeerMessage.AppendAnswer, round: Long): Progress {
+        val received = Echo(message.run ?: return progress, message.echo)
+        val known = progress.echo
+        return when {
+            received.run != known?.run -> progress.copy(echo = received, echoRound = round + 1, confirmedEcho = null)
+            progress.confirmedEcho == known && received.millis > known.millis -> progress.copy(echo = received, echoRound = round + 1)
+            else -> progress
+        }
+    }
 }
--- a/core/src/main/kotlin/org/buckthornhub/replication/PeerMessage.kt
+++ b/core/src/main/kotlin/org/buckthornhub/replication/PeerMessage.kt
@@ -58,6 +58,7 @@
      *
      * @property round number of the leader's broadcast
      * @property confirmedEcho newest echo of the receiver after which a majority confirmed the leader; receiver's monotonic clock, in ms
+     * @property confirmedRun run of the receiver that gave [confirmedEcho]; null from a version that keeps no run, which confirms nothing
      */
     @Serializable
     @SerialName("append")
@@ -70,6 +71,7 @@
         val entries: List<LogEntry>,
         val commitIndex: Long,
         val confirmedEcho: Long? = null,
+        val confirmedRun: RunId? = null,
     ) : PeerMessage
 
     /** Snapshot of the leader, for a member that lacks entries that have already been compacted. */
@@ -87,6 +89,7 @@
      *
      * @property index last index that matches the leader's log if [isMatched], otherwise the index from which the leader should retry
      * @property echo monotonic time of the sender at the answer, in ms
+     * @property run run of the sender, which [echo] is bound to; null from a version that sends no run, whose echo is not returned
      */
     @Serializable
     @SerialName("append-answer")
@@ -97,5 +100,6 @@
         val isMatched: Boolean,
         val index: Long,
         val echo: Long,
+        val run: RunId? = null,
     ) : PeerMessage
 }
--- a/core/src/main/kotlin/org/buckthornhub/replication/Progress.kt
+++ b/core/src/main/kotlin/org/buckthornhub/replication/Progress.kt
@@ -15,7 +15,7 @@
     val ackedRound: Long = 0,
     val catchUpIndex: Long? = null,
     val lastContactMillis: Long = 0,
-    val echo: Long? = null,
+    val echo: Echo? = null,
     val echoRound: Long = 0,
-    val confirmedEcho: Long? = null,
+    val confirmedEcho: Echo? = null,
 )
--- a/core/src/main/kotlin/org/buckthornhub/replication/ReplicationState.kt
+++ b/core/src/main/kotlin/org/buckthornhub/replication/ReplicationState.kt
@@ -11,9 +11,11 @@
  * State of the consensus protocol on one member of the control quorum.
  *
  * @property commitIndex index of the last entry known to be committed; [machine] is the state after it
+ * @property run identifies this run of the process, so that a time of an earlier one is recognised
  * @property electionDeadlineMillis local time at which to start a pre-vote unless a leader makes contact before
  * @property freshMillis local time at which a majority confirmed [machine] or an older state as current; null if never
- * @property resumedAtMillis local time of the last resumption after a suspension; confirmations requested before it are ignored
+ * @property resumedAtMillis local time of the start, or of the last resumption after a suspension; confirmations requested before it
+ *   are ignored
  * @property introducers VMs that are contacted for discovery of the quorum
  * @property uninitialisedVms VMs that answered the hello of [helloRound] and are not in a quorum either
  */
@@ -21,6 +23,7 @@
     val self: Member,
     val settings: ReplicationSettings,
     val seed: Long,
+    val run: RunId,
     val durable: DurableState = DurableState(),
     val role: Role = Role.Follower(),
     val commitIndex: Long = durable.log.snapshot.index,
--- a/core/src/test/kotlin/org/buckthornhub/replication/FakeCluster.kt
+++ b/core/src/test/kotlin/org/buckthornhub/replication/FakeCluster.kt
@@ -9,7 +9,11 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 
-/** Control VMs on a simulated network that loses, duplicates, delays and reorders messages; all choices come from [random]. */
+/**
+ * Control VMs on a simulated network that loses, duplicates, delays and reorders messages; all choices come from [random].
+ *
+ * Each VM has a monotonic clock of its own. It equals [nowMillis] until the VM is rebooted.
+ */
 internal class FakeCluster(
     private val random: Random,
     size: Int = 3,
@@ -22,6 +26,9 @@
         ReplicationSettings(vms = vms.toSet(), allowsStandby = allowsStandby, compactAfter = compactAfter, batchLimit = 8)
     private val decider = ReplicationDecider()
     private var diskCount = 0
+    private var runCount = 0
+    private var clockOffsets: Map<VmId, Long> = emptyMap()
+    private var commits = CommitHistory()
     private var disks = vms.associateWith { newDisk(it) }
     var nodes: Map<VmId, ReplicationState> = vms.associateWith { boot(it) }
         private set
@@ -82,6 +89,27 @@
         if (vm !in nodes) nodes = nodes + (vm to boot(vm))
     }
 
+    /** Restarts [vm] with a monotonic clock that starts at [startMillis]; an open request of another VM may still hold its messages. */
+    fun reboot(vm: VmId, startMillis: Long) {
+        crash(vm)
+        clockOffsets = clockOffsets + (vm to startMillis - nowMillis)
+        restart(vm)
+    }
+
+    /** Returns the monotonic time of [vm]. */
+    fun localMillis(vm: VmId): Long = nowMillis + (clockOffsets[vm] ?: 0)
+
+    /** Checks that no member counts its state as confirmed at a time after which the quorum committed an entry that it lacks. */
+    fun checkFreshness() = nodes.forEach { (vm, state) ->
+        val freshMillis = state.freshMillis?.let { it - localMillis(vm) + nowMillis } ?: return@forEach
+        assertTrue(freshMillis <= nowMillis, "$vm counts its state as confirmed ${freshMillis - nowMillis} ms from now")
+        val required = commits.indexBefore(freshMillis)
+        assertTrue(
+            state.commitIndex >= required,
+            "$vm counts its state as confirmed at $freshMillis, but lacks entries ${state.commitIndex + 1} to $required",
+        )
+    }
+
     /** Starts an additional VM with an empty disk that is configured with the initial VMs only. */
     fun join(vm: VmId) {
         vms = vms + vm
@@ -104,7 +132,7 @@
     /** Executes the effects of one decision; if [crashAfter] is set, the VM crashes after that many effects. */
     fun step(vm: VmId, message: ReplicationMessage, crashAfter: Int? = null) {
         val state = nodes[vm] ?: return
-        val decision = decider.decide(state, message, nowMillis)
+        val decision = decider.decide(state, message, localMillis(vm))
         val effects = if (crashAfter == null) decision.effects else decision.effects.take(crashAfter)
         nodes = nodes + (vm to decision.state)
         if (crashAfter == null) check(decision.state)
@@ -146,6 +174,7 @@
 
     // Checks that all members have the same state at the same commit index.
     private fun check(state: ReplicationState) {
+        commits = commits.with(nowMillis, state.commitIndex)
         val known = machines[state.commitIndex]
         if (known == null) machines = machines + (state.commitIndex to state.machine)
         if (known != null && known !== state.machine) assertEquals(known, state.machine, "two states at index ${state.commitIndex}")
@@ -155,7 +184,14 @@
 
     private fun boot(vm: VmId): ReplicationState {
         val disk = disks.getValue(vm)
-        return ReplicationState(disk.member, settings, seed = random.nextLong(), durable = disk.load())
+        return ReplicationState(
+            disk.member,
+            settings,
+            seed = random.nextLong(),
+            run = RunId("run${++runCount}"),
+            durable = disk.load(),
+            resumedAtMillis = localMillis(vm),
+        )
     }
 
     private companion object {
--- a/core/src/test/kotlin/org/buckthornhub/replication/LeaderRulesTest.kt
+++ b/core/src/test/kotlin/org/buckthornhub/replication/LeaderRulesTest.kt
@@ -36,6 +36,7 @@
             self = self,
             settings = ReplicationSettings(vms = setOf(self.vm, second.vm, lost.vm)),
             seed = 1,
+            run = RunId("run"),
             durable = DurableState(term = 2, votedFor = self, log = log),
             role = Role.Leader(firstIndex = 3, sinceMillis = 0, followers = followers, confirmedMillis = 0, round = 1),
             commitIndex = commitIndex,
--- a/core/src/test/kotlin/org/buckthornhub/replication/StandbyReplacementTest.kt
+++ b/core/src/test/kotlin/org/buckthornhub/replication/StandbyReplacementTest.kt
@@ -69,6 +69,7 @@
             Member(VmId("vm1"), DiskId("new")),
             ReplicationSettings(vms = setOf(VmId("vm1")), mayBootstrap = false, allowsStandby = true),
             seed = 1,
+            run = RunId("run"),
         )
         val after = (0L..5_000L step 100).fold(state) { known, now ->
             ReplicationDecider().decide(known, ReplicationMessage.Tick, now).state
--- a/daemon/src/main/kotlin/org/buckthornhub/control/ControlAssembly.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/control/ControlAssembly.kt
@@ -21,9 +21,11 @@
 import org.buckthornhub.replication.ReplicationMessage
 import org.buckthornhub.replication.ReplicationSettings
 import org.buckthornhub.replication.ReplicationState
+import org.buckthornhub.replication.RunId
 import org.buckthornhub.settings.Settings
 import org.buckthornhub.task.Mailbox
 import java.io.File
+import java.util.UUID
 
 /**
  * Builds the components of a daemon that replicate the control state: as a member of the control quorum, or through its feed.
@@ -84,7 +86,8 @@
                 electionMillis = control.electionMillis,
             )
         val seed = clock.wallMillis() xor settings.vm.hashCode().toLong()
-        val state = ReplicationState(opened.self, replication, seed, opened.state)
+        val run = RunId(UUID.randomUUID().toString())
+        val state = ReplicationState(opened.self, replication, seed, run, opened.state, resumedAtMillis = clock.nowMillis())
         return ControlTask(state, opened.storage, { memberLinks[it] }, clock)
     }
 
--- a/daemon/src/main/kotlin/org/buckthornhub/daemon/ControlVmAssembly.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/daemon/ControlVmAssembly.kt
@@ -30,7 +30,9 @@
 import org.buckthornhub.replication.ReplicationMessage
 import org.buckthornhub.replication.ReplicationSettings
 import org.buckthornhub.replication.ReplicationState
+import org.buckthornhub.replication.RunId
 import java.io.File
+import java.util.UUID
 
 /** Builds a control VM: a member or standby of the control quorum, and the coordinator, which is active while this VM leads. */
 public class ControlVmAssembly(
@@ -119,7 +121,9 @@
                 batchLimit = BATCH_ENTRIES,
             )
         val seed = clock.wallMillis() xor settings.vm.hashCode().toLong()
-        return ControlTask(ReplicationState(opened.self, replication, seed, opened.state), opened.storage, memberLinks, clock)
+        val run = RunId(UUID.randomUUID().toString())
+        val state = ReplicationState(opened.self, replication, seed, run, opened.state, resumedAtMillis = clock.nowMillis())
+        return ControlTask(state, opened.storage, memberLinks, clock)
     }
 
     private companion object {
