Count no time of the future from a control VM as fresh

Callers saw: withdrawn keys in use at daemons that had taken over a negative age from their control VM, until the daemon's restart, also after the control VM had a right one again.

Cause: `ProxyViewUpdater` counted a negative age into the future of the daemon's clock and kept the highest time, so no right one replaced it; the check for freshness had no lower bound. A lease for the use of primaries was counted as if the leader had been confirmed just then. The time that a report was held went in as told, also beyond the time that the report took, and a shared position could lie in the leader's future.

Ruled out: the wall clock, which guards the age while the monotonic clock is right, hides nothing here, since both were moved by the same age.

Change: a negative age confirms nothing and gives no lease, and the daemon asks the next control VM; the time held counts up to the time that the report took; a time of the future that was taken over earlier neither counts nor stays; a position of the leader's future is dropped. An age from before the start of the daemon's clock stays an age.

Tests: new rows and two tables in `ProxyViewUpdaterTest`; on the old code 8 failed: confirmed at instead of never, at 14960 instead of 10960, leases at 10000 instead of none and of 9500, the three replies after a time of the future (it counted as fresh), a position at 10001. They pass now.

--- a/daemon/src/main/kotlin/org/buckthornhub/coordination/ProxyView.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/coordination/ProxyView.kt
@@ -47,10 +47,14 @@
 ) {
     /** Returns whether the control leader has given this daemon a lease for the use of primaries that has not expired. */
     fun hasPrimaryLease(clock: Clock): Boolean =
-        leasedAt?.let { it.ageMillis(clock.nowMillis(), clock.wallMillis()) <= PrimaryLeases.HOLDER_LEASE_MILLIS } ?: false
+        leasedAt?.let { it.ageMillis(clock.nowMillis(), clock.wallMillis()) in 0..PrimaryLeases.HOLDER_LEASE_MILLIS } ?: false
 
-    /** Returns whether a majority confirmed [table] within [limitMillis], so that older key withdrawals are known here. */
-    fun isFresh(clock: Clock, limitMillis: Long): Boolean = ageMillis(clock)?.let { it <= limitMillis } ?: false
+    /**
+     * Returns whether a majority confirmed [table] within [limitMillis], so that older key withdrawals are known here.
+     *
+     * A time of the future confirms nothing.
+     */
+    fun isFresh(clock: Clock, limitMillis: Long): Boolean = ageMillis(clock)?.let { it in 0..limitMillis } ?: false
 
     /** Returns the time since a majority confirmed [table]; null if it never did. */
     fun ageMillis(clock: Clock): Long? = confirmedAt?.ageMillis(clock.nowMillis(), clock.wallMillis())
--- a/daemon/src/main/kotlin/org/buckthornhub/coordination/ProxyViewUpdater.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/coordination/ProxyViewUpdater.kt
@@ -13,14 +13,15 @@
         val table = reply.table?.takeIf { known == null || it.version > known.version } ?: known
         // Counts from the time of the request, so that network delay only makes the state older.
         // A source with an older table confirms nothing.
-        val confirmedAt = reply.ageMillis
-            ?.let { age -> ClockReading(sentAt.monotonicMillis + reply.heldMillis - age, sentAt.wallMillis + reply.heldMillis - age) }
+        val heldMillis = heldMillis(sentAt, receivedAt, reply)
+        val confirmedAt = ageMillis(reply)
+            ?.let { age -> ClockReading(sentAt.monotonicMillis + heldMillis - age, sentAt.wallMillis + heldMillis - age) }
             ?.takeIf { reply.tableVersion >= (table?.version ?: 0) }
         val instances = reply.instances
         val leaderClock = leaderClock(sentAt, receivedAt, reply)
         return view.copy(
             table = table,
-            confirmedAt = listOfNotNull(view.confirmedAt, confirmedAt).maxByOrNull { it.monotonicMillis },
+            confirmedAt = listOfNotNull(view.confirmedAt?.takeIf { it.isPast(receivedAt) }, confirmedAt).maxByOrNull { it.monotonicMillis },
             controlVms = controlVms(view, from, reply),
             controlTerm = if (instances != null) reply.controlTerm else view.controlTerm,
             directoryRevision = if (instances != null) reply.directoryRevision else view.directoryRevision,
@@ -30,14 +31,23 @@
             proxies = if (reply.shares != null) reply.proxies else view.proxies,
             rank = if (reply.shares != null) reply.rank else view.rank,
             designations = newest(view.designations, reply.designations),
-            leasedAt = leasedAt(view, sentAt, reply) ?: view.leasedAt,
+            leasedAt = leasedAt(view, sentAt, receivedAt, reply),
             leaderClock = leaderClock ?: view.leaderClock,
             positions = if (leaderClock == null) view.positions else samples(leaderClock, reply),
         )
     }
 
     private fun samples(clock: LeaderClock, reply: ProxyReportAnswer): Map<GroupId, CommitSample> =
-        reply.positions.mapValues { (_, shared) -> CommitSample(clock.toLocal(shared.askedMillis), shared.position) }
+        reply.positions.filterValues { it.askedMillis <= reply.leaderMillis }
+            .mapValues { (_, shared) -> CommitSample(clock.toLocal(shared.askedMillis), shared.position) }
+
+    // A control VM that holds its state for confirmed in the future has taken over a time of another clock.
+    private fun ageMillis(reply: ProxyReportAnswer): Long? = reply.ageMillis?.takeIf { it >= 0 }
+
+    private fun heldMillis(sentAt: ClockReading, receivedAt: ClockReading, reply: ProxyReportAnswer): Long =
+        reply.heldMillis.coerceIn(0, (receivedAt.monotonicMillis - sentAt.monotonicMillis).coerceAtLeast(0))
+
+    private fun ClockReading.isPast(now: ClockReading): Boolean = monotonicMillis <= now.monotonicMillis
 
     // While this VM was suspended its monotonic clock stood still: the report is older by that time, and the time that it was held
     // does not count here.
@@ -45,7 +55,7 @@
         if (reply.designations == null) return null
         val elapsedMillis = receivedAt.monotonicMillis - sentAt.monotonicMillis
         val stillMillis = (receivedAt.wallMillis - sentAt.wallMillis - elapsedMillis).coerceAtLeast(0)
-        val heldMillis = if (stillMillis > MAX_CLOCK_DIFFERENCE_MILLIS) 0 else minOf(reply.heldMillis, elapsedMillis)
+        val heldMillis = if (stillMillis > MAX_CLOCK_DIFFERENCE_MILLIS) 0 else heldMillis(sentAt, receivedAt, reply)
         val earliestMillis = sentAt.monotonicMillis - stillMillis + heldMillis
         return LeaderClock(reply.controlTerm, reply.leaderMillis, earliestMillis, receivedAt.monotonicMillis)
     }
@@ -55,13 +65,14 @@
 
     // Counts from the report or from the last confirmation of the leader by a majority, whichever was earlier: a leader that was
     // replaced without noticing can't extend a lease.
-    private fun leasedAt(view: ProxyView, sentAt: ClockReading, reply: ProxyReportAnswer): ClockReading? {
-        val ageMillis = reply.ageMillis ?: return null
-        val designations = reply.designations ?: return null
-        if (designations.revision < view.designations.revision) return null
-        val lateMillis = (ageMillis - reply.heldMillis).coerceAtLeast(0)
+    private fun leasedAt(view: ProxyView, sentAt: ClockReading, receivedAt: ClockReading, reply: ProxyReportAnswer): ClockReading? {
+        val known = view.leasedAt?.takeIf { it.isPast(receivedAt) }
+        val ageMillis = ageMillis(reply) ?: return known
+        val designations = reply.designations ?: return known
+        if (designations.revision < view.designations.revision) return known
+        val lateMillis = (ageMillis - heldMillis(sentAt, receivedAt, reply)).coerceAtLeast(0)
         val counted = ClockReading(sentAt.monotonicMillis - lateMillis, sentAt.wallMillis - lateMillis)
-        return counted.takeIf { view.leasedAt == null || it.monotonicMillis > view.leasedAt.monotonicMillis }
+        return counted.takeIf { known == null || it.monotonicMillis > known.monotonicMillis } ?: known
     }
 
     private fun controlVms(view: ProxyView, from: VmId, reply: ProxyReportAnswer): List<VmId> {
--- a/daemon/src/main/kotlin/org/buckthornhub/coordination/ReportTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/coordination/ReportTask.kt
@@ -90,7 +90,7 @@
         lastReplyTerm = message.reply.controlTerm
         if (after.table !== before.table) logger.info { "applied route table ${after.table?.version} from control VM ${message.from}" }
         val ageMillis = message.reply.ageMillis
-        val isUnconfirmed = ageMillis == null || ageMillis > MAX_CONFIRMATION_AGE_MILLIS
+        val isUnconfirmed = ageMillis == null || ageMillis !in 0..MAX_CONFIRMATION_AGE_MILLIS
         if (isUnconfirmed && failures == 0) {
             logger.warn { "control VM ${message.from} has no recent confirmation by a majority (age: $ageMillis ms); trying the next one" }
         }
--- a/daemon/src/test/kotlin/org/buckthornhub/coordination/ProxyViewUpdaterTest.kt
+++ b/daemon/src/test/kotlin/org/buckthornhub/coordination/ProxyViewUpdaterTest.kt
@@ -1,5 +1,6 @@
 package org.buckthornhub.coordination
 
+import org.buckthornhub.clock.Clock
 import org.buckthornhub.fleet.VmId
 import org.buckthornhub.group.GroupId
 import org.buckthornhub.group.LogPosition
@@ -14,6 +15,7 @@
 import org.junit.jupiter.params.provider.CsvSource
 import org.junit.jupiter.params.provider.MethodSource
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
 
 internal class ProxyViewUpdaterTest {
     @ParameterizedTest
@@ -51,7 +53,44 @@
         assertEquals(askedMillis, after.positions.getValue(GroupId("g")).askedMillis)
     }
 
+    @ParameterizedTest
+    @MethodSource("takenOver")
+    fun `times of the future that were taken over earlier neither count nor stay`(case: TakenOverCase) {
+        val before = ProxyView(RouteTable(version = 5), confirmedAt = future, designations = designations(1), leasedAt = future)
+        assertFalse(before.isFresh(clock, limitMillis = 5_000))
+        assertFalse(before.hasPrimaryLease(clock))
+        val sentAt = ClockReading(monotonicMillis = 10_000, wallMillis = 90_000)
+        val after = ProxyViewUpdater.update(before, VmId("a"), sentAt, receivedAt, case.reply)
+        assertEquals(case.countedMillis, after.confirmedAt?.monotonicMillis)
+        assertEquals(case.countedMillis, after.leasedAt?.monotonicMillis)
+        assertEquals(case.countedMillis != null, after.isFresh(clock, limitMillis = 5_000))
+        assertEquals(case.countedMillis != null, after.hasPrimaryLease(clock))
+    }
+
+    @ParameterizedTest
+    @MethodSource("positions")
+    fun `a shared position counts from its time unless that lies in the future of the leader`(case: SharedPositionCase) {
+        val sentAt = ClockReading(monotonicMillis = 10_000, wallMillis = 90_000)
+        val shared = SharedPosition(Position.START, case.askedMillis)
+        val reply = ProxyReportAnswer(
+            ageMillis = 40,
+            designations = designations(1),
+            leaderMillis = 700_000,
+            positions = mapOf(GroupId("g") to shared),
+        )
+        val after = ProxyViewUpdater.update(ProxyView(), VmId("a"), sentAt, receivedAt, reply)
+        assertEquals(case.localMillis, after.positions[GroupId("g")]?.askedMillis)
+    }
+
     private companion object {
+        private val future = ClockReading(monotonicMillis = 17_000_000, wallMillis = 17_080_000)
+
+        private val clock = object : Clock {
+            override fun nowMillis() = 11_000L
+
+            override fun wallMillis() = 91_000L
+        }
+
         private val receivedAt = ClockReading(monotonicMillis = 11_000, wallMillis = 91_000)
 
         private fun designations(number: Long) = PrimaryDesignations().with(GroupId("g"), PrimaryDesignation(TargetId("t"), number))
@@ -78,11 +117,63 @@
                 knownNumber = 2,
                 leasedMillis = null,
             ),
+            LeaseCase(
+                "from a leader that counts its state as confirmed in the future",
+                ProxyReportAnswer(ageMillis = -17_366_834, designations = designations(1)),
+                knownNumber = 1,
+                leasedMillis = null,
+            ),
+            LeaseCase(
+                "held open for longer than the report took",
+                ProxyReportAnswer(ageMillis = 1_500, heldMillis = 5_000, designations = designations(1)),
+                knownNumber = 1,
+                leasedMillis = 9_500,
+            ),
             LeaseCase("never confirmed", ProxyReportAnswer(designations = designations(1)), knownNumber = 1, leasedMillis = null),
         )
 
+        @JvmStatic
+        fun takenOver(): List<TakenOverCase> = listOf(
+            TakenOverCase(
+                "a right reply",
+                ProxyReportAnswer(ageMillis = 40, tableVersion = 5, designations = designations(1)),
+                countedMillis = 9_960,
+            ),
+            TakenOverCase("a reply that confirms nothing", ProxyReportAnswer(tableVersion = 5), countedMillis = null),
+            TakenOverCase(
+                "one more reply of the future",
+                ProxyReportAnswer(ageMillis = -17_366_834, tableVersion = 5, designations = designations(1)),
+                countedMillis = null,
+            ),
+        )
+
+        @JvmStatic
+        fun positions(): List<SharedPositionCase> = listOf(
+            SharedPositionCase("asked earlier", askedMillis = 699_800, localMillis = 9_800),
+            SharedPositionCase("asked when the leader answered", askedMillis = 700_000, localMillis = 10_000),
+            SharedPositionCase("asked in the future of the leader", askedMillis = 700_001, localMillis = null),
+        )
+
         @JvmStatic
         fun cases(): List<ProxyViewCase> = listOf(
+            ProxyViewCase(
+                "confirmed in the future",
+                ProxyReportAnswer(ageMillis = -17_366_834, tableVersion = 5),
+                confirmedMillis = null,
+                version = 5,
+            ),
+            ProxyViewCase(
+                "held open for longer than the report took",
+                ProxyReportAnswer(ageMillis = 40, heldMillis = 5_000, tableVersion = 5),
+                confirmedMillis = 10_960,
+                version = 5,
+            ),
+            ProxyViewCase(
+                "confirmed before the daemon's clock started",
+                ProxyReportAnswer(ageMillis = 30_000, tableVersion = 5),
+                confirmedMillis = -20_000,
+                version = 5,
+            ),
             ProxyViewCase("not confirmed by a majority", ProxyReportAnswer(tableVersion = 5), confirmedMillis = null, version = 5),
             ProxyViewCase("the same table", ProxyReportAnswer(ageMillis = 40, tableVersion = 5), confirmedMillis = 9_960, version = 5),
             ProxyViewCase(
