Keep the age of a state that was confirmed before the clock started

Callers saw: a daemon of the product's own HTTP interface served keys with a state of any age for `keys.cut_off_after_ms` after its machine had started, and with a state of the future for ever.

Cause: the time of the last confirmation was 0 for "never", so a time before the clock's start was raised to 1 and counted as confirmed at the start. The same 0 let a leader that had no confirmation yet grant tokens of the reserve in the first 500 ms of its clock. Negative ages and longer holds than the request took were counted as told, as in the reports.

Ruled out: a zone that is cut off goes on serving under `serve`: its state keeps its age, it is not thrown away.

Change: the time is null if there is none and may be negative. A negative age confirms nothing, the time held counts up to the time that the request took, and a time of the future is refused where keys are checked and where the reserve grants.

The reserve's 500 ms have no test of their own.

--- a/core/src/main/kotlin/org/buckthornhub/control/FeedDecider.kt
+++ b/core/src/main/kotlin/org/buckthornhub/control/FeedDecider.kt
@@ -21,8 +21,8 @@
 
     private fun answered(state: FeedState, message: FeedMessage.AnswerReceived, nowMillis: Long): Decision<FeedState, FeedEffect> {
         val answer = message.answer
-        val received = receive(state, message)
-        val freshMillis = freshMillisOf(message)
+        val received = receive(state, message, nowMillis)
+        val freshMillis = freshMillisOf(message, nowMillis)
         val isStale = freshMillis == null || nowMillis - freshMillis > STALE_MILLIS
         val merged = withdraw(received, answer.withdrawn.orEmpty())
         val next = if (isStale) merged.state.copy(sourceIndex = state.sourceIndex + 1) else merged.state
@@ -38,14 +38,14 @@
         )
     }
 
-    private fun receive(state: FeedState, message: FeedMessage.AnswerReceived): FeedState {
+    private fun receive(state: FeedState, message: FeedMessage.AnswerReceived, nowMillis: Long): FeedState {
         val answer = message.answer
         val known = state.view.state
         val offered = answer.snapshot ?: answer.delta?.let { ControlDeltas.apply(known, it) }
         val newer = offered?.takeIf { it.revision > known.revision } ?: known
         // A source with an older revision does not confirm the newer local state.
-        val freshMillis = freshMillisOf(message)?.takeIf { answer.revision >= newer.revision }
-        val view = ReplicatedView(newer, maxOf(state.view.freshMillis, freshMillis?.coerceAtLeast(1) ?: 0))
+        val freshMillis = freshMillisOf(message, nowMillis)?.takeIf { answer.revision >= newer.revision }
+        val view = ReplicatedView(newer, listOfNotNull(state.view.freshMillis, freshMillis).maxOrNull())
         if (newer === known) return state.copy(view = view)
         val history = state.history.put(known.revision, known)
         val kept = if (history.size > KEPT_REVISIONS) history.remove(history.keys.min()) else history
@@ -53,8 +53,10 @@
     }
 
     // Computed from the time of the request, so that network delay can only make the state appear older.
-    private fun freshMillisOf(message: FeedMessage.AnswerReceived): Long? =
-        message.answer.ageMillis?.let { message.askedMillis + message.answer.heldMillis - it }
+    private fun freshMillisOf(message: FeedMessage.AnswerReceived, nowMillis: Long): Long? {
+        val ageMillis = message.answer.ageMillis?.takeIf { it >= 0 } ?: return null
+        return message.askedMillis + message.answer.heldMillis.coerceIn(0, (nowMillis - message.askedMillis).coerceAtLeast(0)) - ageMillis
+    }
 
     private fun failed(state: FeedState): Decision<FeedState, FeedEffect> =
         ask(state.copy(sourceIndex = state.sourceIndex + 1), delayMillis = RETRY_MILLIS)
--- a/core/src/main/kotlin/org/buckthornhub/organisation/RefuseStaleInterceptor.kt
+++ b/core/src/main/kotlin/org/buckthornhub/organisation/RefuseStaleInterceptor.kt
@@ -28,8 +28,9 @@
 
     private fun refusalOf(current: ReplicatedView): ProxyError? {
         // The state of a control VM after a restart may be so old that a withdrawn key is still valid in it.
-        if (current.freshMillis == 0L) return stale("this daemon has received no configuration confirmed by a majority")
-        val ageMillis = clock.nowMillis() - current.freshMillis
+        val freshMillis = current.freshMillis ?: return stale("this daemon has received no configuration confirmed by a majority")
+        val ageMillis = clock.nowMillis() - freshMillis
+        if (ageMillis < 0) return stale("the configuration counts as confirmed ${-ageMillis} ms in the future")
         if (refuseAfterMillis == null || ageMillis <= refuseAfterMillis) return null
         return stale("the configuration is $ageMillis ms old; the limit is $refuseAfterMillis ms")
     }
--- a/core/src/test/kotlin/org/buckthornhub/control/FeedCase.kt
+++ b/core/src/test/kotlin/org/buckthornhub/control/FeedCase.kt
@@ -5,7 +5,7 @@
     private val name: String,
     val messages: List<Pair<Long, FeedMessage>>,
     val revision: Long,
-    val freshMillis: Long,
+    val freshMillis: Long?,
     val source: String,
     val withdrawn: Set<String> = emptySet(),
 ) {
--- a/core/src/test/kotlin/org/buckthornhub/organisation/RefuseStaleInterceptorTest.kt
+++ b/core/src/test/kotlin/org/buckthornhub/organisation/RefuseStaleInterceptorTest.kt
@@ -43,13 +43,15 @@
             StaleCase("no maximum age", freshMillis = 1, refuseAfterMillis = null),
             StaleCase(
                 "no maximum age, but no configuration was received",
-                freshMillis = 0,
+                freshMillis = null,
                 refuseAfterMillis = null,
                 error = ErrorKind.CONFIGURATION_STALE,
             ),
             StaleCase("at the maximum age", freshMillis = 5_000, refuseAfterMillis = 5_000),
             StaleCase("above the maximum age", freshMillis = 4_999, refuseAfterMillis = 5_000, error = ErrorKind.CONFIGURATION_STALE),
-            StaleCase("a request without a key", freshMillis = 0, refuseAfterMillis = 5_000, key = null),
+            StaleCase("confirmed in the future", freshMillis = 10_001, refuseAfterMillis = 5_000, error = ErrorKind.CONFIGURATION_STALE),
+            StaleCase("confirmed before the local clock started", freshMillis = -1, refuseAfterMillis = null),
+            StaleCase("a request without a key", freshMillis = null, refuseAfterMillis = 5_000, key = null),
         )
     }
 }
--- a/daemon/src/main/kotlin/org/buckthornhub/control/ControlAssembly.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/control/ControlAssembly.kt
@@ -64,7 +64,7 @@
             OperatorRoutes(control.operatorSecret, configuration, commands, broadcast).routes()
 
     /** Returns whether this daemon has received a configuration confirmed by a majority. */
-    fun isReady(): Boolean = view.current().freshMillis > 0
+    fun isReady(): Boolean = view.current().freshMillis != null
 
     fun start(scope: CoroutineScope) {
         memberLinks.values.forEach { it.start(scope) }
--- a/daemon/src/main/kotlin/org/buckthornhub/control/ControlTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/control/ControlTask.kt
@@ -52,7 +52,7 @@
     override val leadership: StateSource<ControlLeadership> = StateSource { leadershipOf(published.value) }
 
     override fun view(): ReplicatedView = published.value.let { state ->
-        ReplicatedView(state.machine.control, state.freshMillis.takeUnless { suspensionDetector.wasSuspended() } ?: 0)
+        ReplicatedView(state.machine.control, state.freshMillis.takeUnless { suspensionDetector.wasSuspended() })
     }
 
     /** Emits after each change of the replication state. */
--- a/daemon/src/main/kotlin/org/buckthornhub/control/FeedRoutes.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/control/FeedRoutes.kt
@@ -35,7 +35,7 @@
         val older = cached.history[from] ?: cached.view.state.takeIf { it.revision == from }
         return FeedAnswer(
             revision = view.state.revision,
-            ageMillis = view.freshMillis.takeIf { it > 0 }?.let { nowMillis - it },
+            ageMillis = view.freshMillis?.let { nowMillis - it },
             heldMillis = nowMillis - receivedMillis,
             delta = if (isNewer && older != null) ControlDeltas.between(older, view.state) else null,
             snapshot = if (isNewer && older == null) view.state else null,
--- a/daemon/src/main/kotlin/org/buckthornhub/coordination/ReportRoutes.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/coordination/ReportRoutes.kt
@@ -88,7 +88,7 @@
             leader = leadership.leader,
             controlTerm = leadership.controlTerm,
             controlVms = controlVms.current(),
-            ageMillis = view.freshMillis.takeIf { it > 0 }?.let { nowMillis - it },
+            ageMillis = view.freshMillis?.let { nowMillis - it },
             heldMillis = nowMillis - receivedMillis,
             tableVersion = table?.version ?: 0,
             directoryRevision = state.directoryRevision,
--- a/daemon/src/main/kotlin/org/buckthornhub/coordination/ReserveTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/coordination/ReserveTask.kt
@@ -31,7 +31,8 @@
         val view = control.view()
         val nowMillis = clock.nowMillis()
         // Another VM can lead only after this one has gone without a confirmation by a majority for longer than this.
-        if (!leadership.isLeader || nowMillis - view.freshMillis > MAX_CONFIRMATION_AGE_MILLIS) return emptyGrant
+        val ageMillis = view.freshMillis?.let { nowMillis - it } ?: return emptyGrant
+        if (!leadership.isLeader || ageMillis !in 0..MAX_CONFIRMATION_AGE_MILLIS) return emptyGrant
         val access = view.state.routeTable?.table?.organisations?.get(request.organisation) ?: return emptyGrant
         if (leadership.controlTerm != controlTerm) {
             controlTerm = leadership.controlTerm
--- a/daemon/src/main/kotlin/org/buckthornhub/status/StatusRoutes.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/status/StatusRoutes.kt
@@ -34,7 +34,7 @@
         val control = replicated.current()
         return StatusBody(
             vm = state.self.vm,
-            controlAgeMillis = control.freshMillis.takeIf { it != 0L }?.let { nowMillis - it },
+            controlAgeMillis = control.freshMillis?.let { nowMillis - it },
             daemons = state.view.daemons.values.sortedBy { it.vm.value },
             targets = state.view.targets.values.sortedBy { it.target.value }.map { TargetUpdate(it, nowMillis - it.announcedMillis) },
             leaderships = control.state.leaderships.values.sortedBy { it.group.value },
