Confirm no leadership by a round of an earlier one

What callers could see: a control leader that a majority has left counts as confirmed, hands out leases, and lets withdrawn keys pass.

Cause: a member answers a delayed append of an older term with its own, higher term, but with the round of that append. If the sender leads again by then, in the term of the answer, it took the round of its former leadership, which may be far above its present one, for an answer to a broadcast of its own. It confirmed rounds that the member had not seen, for as long as the former leadership had lasted.

Ruled out: a restarted leader (it leads in a higher term, as a term is synced before votes are asked for); the schedules of `ReplicationDifferentialTest` and `RestartedClockPropertyTest` don't come to it, so the cases are played by name.

Change: an answer to an older term carries round 0, and a leader counts no round that it has not sent, as a member of an older version may still return one. A round without a send time moves the confirmation no further.

--- a/core/src/main/kotlin/org/buckthornhub/replication/FollowerReplication.kt
+++ b/core/src/main/kotlin/org/buckthornhub/replication/FollowerReplication.kt
@@ -2,8 +2,11 @@
 
 /** Handles the entries and snapshots that a follower receives from its leader. */
 internal object FollowerReplication {
+    /** Sent to a leader of an older term, whose rounds mean nothing if its VM leads again in the term of the answer. */
+    private const val NO_ROUND = 0L
+
     fun onAppend(start: Step, message: PeerMessage.Append, nowMillis: Long): Step {
-        if (message.term < start.state.durable.term) return answer(start, message.from, message.round, null, nowMillis)
+        if (message.term < start.state.durable.term) return answer(start, message.from, NO_ROUND, null, nowMillis)
         val step = acceptLeader(start, message.from, message.term, nowMillis)
         val log = step.state.log
         // Entries covered by the snapshot are committed, so they match the log of any leader.
@@ -18,7 +21,7 @@
     }
 
     fun onInstall(start: Step, message: PeerMessage.Install, nowMillis: Long): Step {
-        if (message.term < start.state.durable.term) return answer(start, message.from, message.round, null, nowMillis)
+        if (message.term < start.state.durable.term) return answer(start, message.from, NO_ROUND, null, nowMillis)
         val step = acceptLeader(start, message.from, message.term, nowMillis)
         val snapshot = message.snapshot
         if (snapshot.index <= step.state.commitIndex) return answer(step, message.from, message.round, snapshot.index, nowMillis)
--- a/core/src/main/kotlin/org/buckthornhub/replication/LeaderReplication.kt
+++ b/core/src/main/kotlin/org/buckthornhub/replication/LeaderReplication.kt
@@ -42,7 +42,7 @@
             )
         }
         val leader = step.state.role as? Role.Leader ?: return step
-        return LogCommitter.advance(leader.followers.keys.fold(step) { s, member -> sendTo(s, member) }, nowMillis)
+        return LogCommitter.advance(leader.followers.keys.fold(step) { s, member -> sendTo(s, member) })
     }
 
     fun sendTo(step: Step, member: Member): Step {
@@ -76,7 +76,7 @@
         val progress = leader.followers[message.from] ?: return start
         val next = updateProgress(progress, message, leader.round).copy(lastContactMillis = nowMillis)
         val step = start.updateLeader { copy(followers = followers.put(message.from, next)) }
-        val committed = Membership.reconfigure(announceCommit(LogCommitter.advance(step, nowMillis), nowMillis, start), nowMillis)
+        val committed = Membership.reconfigure(announceCommit(LogCommitter.advance(step), nowMillis, start), nowMillis)
         val hasMore = next.nextIndex <= start.state.log.lastIndex && next.nextIndex != progress.nextIndex
         return if (hasMore) sendTo(committed, message.from) else committed
     }
@@ -86,7 +86,9 @@
         if (step.state.commitIndex > before.state.commitIndex) broadcast(step, nowMillis) else step
 
     private fun updateProgress(progress: Progress, message: PeerMessage.AppendAnswer, round: Long): Progress {
-        val updated = withEcho(progress, message, round).copy(ackedRound = maxOf(progress.ackedRound, message.round))
+        // A member of an older version may return a round of an earlier leadership.
+        val acked = message.round.takeIf { it <= round } ?: 0
+        val updated = withEcho(progress, message, round).copy(ackedRound = maxOf(progress.ackedRound, acked))
         if (!message.isMatched) {
             return updated.copy(
                 nextIndex = maxOf(progress.matchIndex + 1, minOf(progress.nextIndex - 1, message.index + 1)),
--- a/core/src/main/kotlin/org/buckthornhub/replication/LogCommitter.kt
+++ b/core/src/main/kotlin/org/buckthornhub/replication/LogCommitter.kt
@@ -6,13 +6,13 @@
 /** Advances the commit index of the leader and applies committed entries to the state machine. */
 internal object LogCommitter {
     /** On the leader, commits the entries that a majority has stored and confirms the rounds that a majority has acknowledged. */
-    fun advance(start: Step, nowMillis: Long): Step {
+    fun advance(start: Step): Step {
         val leader = start.state.role as? Role.Leader ?: return start
         val state = start.state
         val index = majorityValue(state, state.log.lastIndex) { leader.followers[it]?.matchIndex ?: 0 }
         val isOwnTerm = state.log.termAt(index) == state.durable.term
         val step = if (index > state.commitIndex && isOwnTerm) commitTo(start, index) else start
-        return confirmRounds(step, nowMillis)
+        return confirmRounds(step)
     }
 
     /** Applies the entries up to [index], which must be committed, and completes the proposals that wait for them. */
@@ -41,11 +41,11 @@
         return step.updateDurable { copy(log = log.compact(snapshot)) }
     }
 
-    private fun confirmRounds(start: Step, nowMillis: Long): Step {
+    private fun confirmRounds(start: Step): Step {
         val leader = start.state.role as? Role.Leader ?: return start
         val round = majorityValue(start.state, leader.round) { leader.followers[it]?.ackedRound ?: 0 }
         if (round <= leader.confirmedRound) return start
-        val confirmed = leader.roundSentMillis[round] ?: nowMillis
+        val confirmed = leader.roundSentMillis[round] ?: leader.confirmedMillis
         val isOwnTerm = start.state.commitIndex >= leader.firstIndex
         val step = start.updateLeader {
             copy(
