Drop reports of targets with a negative age

What callers could see: a daemon that goes on with an old role or position of a target, since no later report replaces one that counts as announced in the future.

Cause: ages in gossip had no lower bound, and the announcement was counted from now less the age.

Ruled out: the daemon's own reports, which carry no age.

Change: a negative age is dropped like one that is too old. No present daemon is known to send one.

--- a/core/src/main/kotlin/org/buckthornhub/fleet/TargetMerge.kt
+++ b/core/src/main/kotlin/org/buckthornhub/fleet/TargetMerge.kt
@@ -8,7 +8,7 @@
     fun mergeOwn(state: FleetState, entry: TargetEntry, nowMillis: Long): FleetState = put(state, entry.copy(announcedMillis = nowMillis))
 
     fun mergeAll(state: FleetState, updates: List<TargetUpdate>, nowMillis: Long, dropMillis: Long): FleetState = updates
-        .filter { it.ageMillis < dropMillis }
+        .filter { it.ageMillis in 0..<dropMillis }
         .map { it.entry.copy(announcedMillis = nowMillis - it.ageMillis) }
         .filter { isNewer(it, state.view.targets[it.target]) }
         .fold(state) { merged, entry -> put(merged, entry) }
