Count answers to a hello for the run that sent it only

What callers could see: a control VM that restarts during the first start of a site forms a quorum from answers that were given before it restarted, though the others have formed one since.

Cause: the rounds of the discovery started at 1 with each run, and an answer names the asker by its VM and disk, which a restart keeps.

Ruled out: a second quorum with other members out of a disk lost meanwhile; its log is behind, and the others don't vote for it.

Change: the rounds start at random, from the seed of the state. The field was opaque to the other side before, so versions mix.

--- a/core/src/main/kotlin/org/buckthornhub/replication/ReplicationState.kt
+++ b/core/src/main/kotlin/org/buckthornhub/replication/ReplicationState.kt
@@ -6,6 +6,7 @@
 import kotlinx.collections.immutable.toPersistentSet
 import org.buckthornhub.control.MachineState
 import org.buckthornhub.fleet.VmId
+import kotlin.random.Random
 
 /**
  * State of the consensus protocol on one member of the control quorum.
@@ -16,6 +17,7 @@
  * @property freshMillis local time at which a majority confirmed [machine] or an older state as current; null if never
  * @property resumedAtMillis local time of the start, or of the last resumption after a suspension; confirmations requested before it
  *   are ignored
+ * @property helloRound round of the discovery; starts at random, so that answers to a former run match none of this one
  * @property introducers VMs that are contacted for discovery of the quorum
  * @property uninitialisedVms VMs that answered the hello of [helloRound] and are not in a quorum either
  */
@@ -32,7 +34,7 @@
     val freshMillis: Long? = null,
     val resumedAtMillis: Long = 0,
     val introducers: PersistentSet<VmId> = settings.vms.toPersistentSet(),
-    val helloRound: Long = 0,
+    val helloRound: Long = Random(seed).nextLong(1, Long.MAX_VALUE / 2),
     val nextHelloMillis: Long = 0,
     val uninitialisedVms: PersistentMap<VmId, Member> = persistentMapOf(),
 ) {
