Give each new order to promote a higher fencing token

What callers could see: writes that a new primary had acknowledged were rolled back, as another instance became the primary by an order that was given before and carried out late.

Cause: the fencing token was the term of the control quorum, so all orders of one leader had the same. An order without an answer may be carried out seconds later, with its token checked then. When it was repeated and refused because its instance was down, another instance was ordered with the same token; when it was repeated and done, it could undo a later replacement by the same leader. The refusal, or the success, of the repetition was taken for that of the first order too.

Ruled out: orders of an earlier leader, which have a lower term. Waiting for the unanswered order instead would leave the group without a primary while its instance is down; no bound of the delay is known.

Change: FencingToken joins the term with the number of the order among those of its leader for the group. A repetition keeps its number, a new choice gets the next one. No two terms share a token, and a leader that leads again has a new term. Where the platform does not check tokens, orders keep the number 0, as a higher one would change nothing there.

Not run against a platform outside the tests.

Remains: a late order that comes before the newer one leads until that one is carried out; nothing stops late orders where tokens are not checked.

--- a/core/src/main/kotlin/org/buckthornhub/failover/FailoverDecider.kt
+++ b/core/src/main/kotlin/org/buckthornhub/failover/FailoverDecider.kt
@@ -136,11 +136,14 @@
                 persistentListOf(FailoverEffect.LogEvent(group, "no replica to promote", phase.reason)),
             )
         if (!settings.isFencedByPlatform) return PromotionFence.designate(state, group, phase, best.key, best.value.received.term)
+        val order = state.orderCounts[group] ?: 0
         return Decision(
-            state.with(group, FailoverPhase.Promoting(best.key, phase.reason)),
+            state
+                .with(group, FailoverPhase.Promoting(best.key, phase.reason, order))
+                .copy(orderCounts = state.orderCounts.put(group, order + 1)),
             persistentListOf(
                 FailoverEffect.LogEvent(group, "promoting ${best.key}, which received ${best.value.received}", phase.reason),
-                FailoverEffect.Promote(group, best.key, delayMillis = 0),
+                FailoverEffect.Promote(group, best.key, delayMillis = 0, order),
             ),
         )
     }
@@ -163,10 +166,10 @@
                 state.with(message.group, FailoverPhase.Watching).copy(excluded = state.excluded.add(phase.target)),
                 persistentListOf(FailoverEffect.LogEvent(message.group, "promotion of ${phase.target} refused", phase.reason)),
             )
-            // No other instance may be ordered to lead: the unanswered order may still take effect after a second one.
+            // No other instance is ordered to lead while this one may be about to.
             PromotionOutcome.UNKNOWN -> Decision(
                 state,
-                persistentListOf(FailoverEffect.Promote(message.group, phase.target, delayMillis = REPEAT_MILLIS)),
+                persistentListOf(FailoverEffect.Promote(message.group, phase.target, delayMillis = REPEAT_MILLIS, phase.order)),
             )
         }
     }
--- a/core/src/main/kotlin/org/buckthornhub/failover/FailoverEffect.kt
+++ b/core/src/main/kotlin/org/buckthornhub/failover/FailoverEffect.kt
@@ -12,11 +12,16 @@
         val target: TargetId,
     ) : FailoverEffect
 
-    /** Orders [target] to lead [group] after [delayMillis]; the result arrives as [FailoverMessage.PromotionAttempted]. */
+    /**
+     * Orders [target] to lead [group] after [delayMillis]; the result arrives as [FailoverMessage.PromotionAttempted].
+     *
+     * @property order number of the order among those of this leader for [group], from 0; a repetition has the same number
+     */
     public data class Promote(
         val group: GroupId,
         val target: TargetId,
         val delayMillis: Long,
+        val order: Int = 0,
     ) : FailoverEffect
 
     /** Commits that only [target] may lead [group]; the result arrives as [FailoverMessage.Designated]. */
--- a/core/src/main/kotlin/org/buckthornhub/failover/FailoverPhase.kt
+++ b/core/src/main/kotlin/org/buckthornhub/failover/FailoverPhase.kt
@@ -49,10 +49,15 @@
         val replaced: TargetId? = null,
     ) : FailoverPhase
 
-    /** Waits for the answer of [target] to its promotion order, which is repeated until the outcome is known. */
+    /**
+     * Waits for the answer of [target] to its promotion order, which is repeated until the outcome is known.
+     *
+     * @property order see [FailoverEffect.Promote]
+     */
     public data class Promoting(
         val target: TargetId,
         val reason: String,
+        val order: Int = 0,
     ) : FailoverPhase
 
     /** Waits until the promoted [target] announces itself as the primary, but no longer than [untilMillis]. */
--- a/core/src/main/kotlin/org/buckthornhub/failover/FailoverState.kt
+++ b/core/src/main/kotlin/org/buckthornhub/failover/FailoverState.kt
@@ -14,12 +14,14 @@
  * @property groupsSeenWithPrimary groups that have had a primary in the directory
  * @property withoutPrimarySince time from which each group has had no primary in the directory (local monotonic ms)
  * @property excluded instances that refused a promotion order; not surveyed until a promotion succeeds or no other candidate is left
+ * @property orderCounts number of instances that this leader has ordered to lead each group; a missing group has none
  */
 public data class FailoverState(
     val phases: PersistentMap<GroupId, FailoverPhase> = persistentMapOf(),
     val groupsSeenWithPrimary: PersistentSet<GroupId> = persistentSetOf(),
     val withoutPrimarySince: PersistentMap<GroupId, Long> = persistentMapOf(),
     val excluded: PersistentSet<TargetId> = persistentSetOf(),
+    val orderCounts: PersistentMap<GroupId, Int> = persistentMapOf(),
 ) {
     /** Whether some promotion waits for daemons to obey a designation. */
     public val isFencing: Boolean get() = phases.values.any { it is FailoverPhase.Fencing }
--- a/daemon/src/main/kotlin/org/buckthornhub/coordination/CoordinatorTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/coordination/CoordinatorTask.kt
@@ -19,6 +19,7 @@
 import org.buckthornhub.failover.FailoverEffect
 import org.buckthornhub.failover.FailoverMessage
 import org.buckthornhub.failover.FailoverSettings
+import org.buckthornhub.failover.FencingToken
 import org.buckthornhub.failover.InstancePromoter
 import org.buckthornhub.failover.InstanceSurvey
 import org.buckthornhub.failover.PrimaryStopper
@@ -117,7 +118,7 @@
     private suspend fun promote(effect: FailoverEffect.Promote) {
         delay(effect.delayMillis)
         // A leader that was replaced without noticing must not promote anything.
-        val fence = control.confirmLeadership().get()
+        val fence = control.confirmLeadership().get()?.let { FencingToken.of(it, effect.order) }
         val outcome = if (fence == null) PromotionOutcome.UNKNOWN else orders.promote(effect.group, effect.target, vm, fence)
         logger.info { "group ${effect.group}: promotion of ${effect.target} with fencing token $fence: $outcome" }
         offer(CoordinatorMessage.Failover(FailoverMessage.PromotionAttempted(effect.group, effect.target, outcome)))
--- a/daemon/src/main/kotlin/org/buckthornhub/failover/InstancePromoter.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/failover/InstancePromoter.kt
@@ -10,7 +10,8 @@
      * Promotes [target] to primary of [group].
      *
      * @param holder control leader that requests the promotion
-     * @param fence fencing token, which grows with each holder; a promotion with a lower token than an earlier one must be refused
+     * @param fence fencing token, which grows with each holder and each new order; an order with a lower token than an earlier one
+     * must be refused
      */
     public suspend fun promote(group: GroupId, target: TargetId, holder: VmId, fence: Long): PromotionOutcome
 }
