Keep log lines for failures that may have run during storms of refusals

What operators saw: the line that decides whether a refusal was a false promise can be left out exactly when many statements fail.

Cause: the extra budget for failures after an attempt was shared by all of them. A statement that got no connection is recorded as an attempt without a target, and so used it like one that ran; and so did refusals of a replaced primary, of which there are hundreds in a replacement.

Ruled out: the queue of lines drops routine lines first and treats these failures alike.

Change: failures at a target have a tenth more than the budget, and those with an attempt that may have run another tenth. The total is unchanged, six fifths of the budget.

--- a/daemon/src/main/kotlin/org/buckthornhub/decisionlog/LogBudget.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/decisionlog/LogBudget.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
+import org.buckthornhub.connection.AttemptFailure
 
 /**
  * Limit of log lines per second, with the number of lines written in the current second and of lines dropped per event.
@@ -16,14 +17,15 @@
 ) {
     /**
      * Returns the budget after one more line, and whether the line is written. Routine lines use at most half of the budget;
-     * failures after an attempt have a fifth more, as refusals without one can be many.
+     * failures at a target have a tenth more, and those that may have run another tenth, as the others can be many.
      */
     fun consume(event: DecisionEvent, nowMillis: Long): Pair<LogBudget, Boolean> {
         val current = if (nowMillis - secondStartMillis >= MILLIS_PER_SECOND) copy(secondStartMillis = nowMillis, written = 0) else this
         val limit = when {
             event.isRoutine -> linesPerSecond / 2
-            event.attempts.isEmpty() -> linesPerSecond
-            else -> linesPerSecond + linesPerSecond / EXTRA_DIVISOR
+            event.attempts.any { it is AttemptFailure.MayHaveRun } -> linesPerSecond + 2 * linesPerSecond / EXTRA_DIVISOR
+            event.attempts.any { it.target != null } -> linesPerSecond + linesPerSecond / EXTRA_DIVISOR
+            else -> linesPerSecond
         }
         val isWritten = current.written < limit
         return (if (isWritten) current.copy(written = current.written + 1) else current.withDropped(event)) to isWritten
@@ -33,6 +35,6 @@
 
     private companion object {
         const val MILLIS_PER_SECOND = 1_000
-        const val EXTRA_DIVISOR = 5
+        const val EXTRA_DIVISOR = 10
     }
 }
--- a/daemon/src/test/kotlin/org/buckthornhub/decisionlog/LogBudgetTest.kt
+++ b/daemon/src/test/kotlin/org/buckthornhub/decisionlog/LogBudgetTest.kt
@@ -12,6 +12,8 @@
 import org.buckthornhub.routetable.ReadGuarantee
 import org.buckthornhub.statement.RequestId
 import org.buckthornhub.target.TargetId
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.MethodSource
 import kotlin.test.Test
 import kotlin.test.assertContains
 import kotlin.test.assertEquals
@@ -45,6 +47,13 @@
         assertEquals("i-1 NO_PRIMARY not-run 3ms; i-2 OUTCOME_UNKNOWN may-have-run 7ms", attempted.fields["attempts"])
     }
 
+    @ParameterizedTest
+    @MethodSource("storms")
+    fun `a storm of failures that did not run leaves lines for those that may have run`(storm: DecisionEvent.RequestFailed) {
+        val spent = (1..40).fold(LogBudget(linesPerSecond = 10)) { budget, _ -> budget.consume(storm, 5_000).first }
+        assertEquals(listOf(true, false), listOf(spent.consume(attempted, 5_100).second, spent.consume(storm, 5_100).second))
+    }
+
     @Test
     fun `metrics count attempts, and failed statements by what the caller was told`() = runTest {
         val registry = PrometheusRegistry()
@@ -89,6 +98,17 @@
             tableVersion = 1,
             tableAgeMillis = 1,
         )
+
+        @JvmStatic
+        fun storms(): List<DecisionEvent.RequestFailed> = listOf(
+            failed,
+            failedAt(null, ErrorKind.QUEUE_FULL),
+            failedAt(TargetId("i-1"), ErrorKind.NO_PRIMARY),
+        )
+
+        private fun failedAt(target: TargetId?, kind: ErrorKind) =
+            failed.copy(attempts = persistentListOf(AttemptFailure.NotRun(target, ProxyError(kind, "not run"))))
+
         val attempted = failed.copy(
             error = ProxyError(ErrorKind.OUTCOME_UNKNOWN, "gave no answer"),
             attempts = persistentListOf(
