Check again after a read of the latest data that its primary still leads

Cause: a write is checked again after its answer, the read was not. That only a primary begins a read-write transaction protects the read where the old one loses its role at the moment of the promotion, and nowhere else.

Ruled out: reads in transactions of callers and probes, which are checked after each answer.

Change: the read is tried again, as nothing has changed by it; the caller is told NO_PRIMARY only if no primary is found in time.

Evidence: the new row of PrimaryLeaseTest failed before (expected NO_PRIMARY, was a success); its 8 rows pass now.

Conclusion: reads and writes of the latest data follow the same check.

--- a/daemon/src/main/kotlin/org/buckthornhub/connection/PrimaryStatementRunner.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/PrimaryStatementRunner.kt
@@ -31,11 +31,9 @@
         if (begun is TargetReply.Refused) return refused(lease, begun)
         observe(admission, lease, sentAt, AnsweredStatement.Begin(readOnly = false), begun)
         val reply = lease.prepareAndRun(work, id, session, floor = null, timeoutMillis).getOrElse { return answerLost(lease, it) }
-        if (reply !is TargetReply.Completed) {
-            scope.launch { rollBack(lease, timeoutMillis) }
-            return outcomeOf(lease.instance.target, reply as TargetReply.Refused)
-        }
         scope.launch { rollBack(lease, timeoutMillis) }
+        if (reply !is TargetReply.Completed) return outcomeOf(lease.instance.target, reply as TargetReply.Refused)
+        if (!environment.authority.allows(admission.route.group, lease.instance.target)) return replaced(lease)
         return RunOutcome.Done(reply.copy(phase = SessionPhase.IDLE), lease)
     }
 
@@ -97,6 +95,13 @@
         return outcomeOf(lease.instance.target, reply)
     }
 
+    // Another instance may have acknowledged commits before this read began.
+    private fun replaced(lease: TargetLease): RunOutcome {
+        val target = lease.instance.target
+        val error = ProxyError(ErrorKind.NO_PRIMARY, "$target may have been replaced before its answer", LEASE_RETRY_MILLIS)
+        return RunOutcome.Retry(AttemptFailure.NotRun(target, error), isTargetAvoided = false)
+    }
+
     private fun answerLost(lease: TargetLease, failure: TargetLinkFailure): RunOutcome {
         lease.release()
         return RunOutcome.Retry(TargetErrors.readLost(lease.instance.target, failure), isTargetAvoided = false)
--- a/daemon/src/test/kotlin/org/buckthornhub/connection/PrimaryLeaseTest.kt
+++ b/daemon/src/test/kotlin/org/buckthornhub/connection/PrimaryLeaseTest.kt
@@ -50,6 +50,13 @@
                 answer = ErrorKind.OUTCOME_UNKNOWN,
                 ran = 1,
             ),
+            PrimaryLeaseCase(
+                "a read that is running when the primary is replaced",
+                Access.READ,
+                duringStatement = designate,
+                answer = ErrorKind.NO_PRIMARY,
+                ran = 1,
+            ),
             PrimaryLeaseCase("a write after the replacement", Access.WRITE, change = designate, answer = ErrorKind.NO_PRIMARY, ran = 0),
             PrimaryLeaseCase("a read after the replacement", Access.READ, change = designate, answer = ErrorKind.NO_PRIMARY, ran = 0),
             PrimaryLeaseCase(
