Record statements in a type of their own, and read one function more easily

RouteInterceptor.failureOf says in words what decides. Callers and logs see no change.

The tests of the daemon's connection package, AttemptTest, RequestPathTest and LogBudgetTest pass.

--- a/core/src/main/kotlin/org/buckthornhub/routing/RouteInterceptor.kt
+++ b/core/src/main/kotlin/org/buckthornhub/routing/RouteInterceptor.kt
@@ -69,12 +69,9 @@
         return attempt(chain, failures, nextAvoided)
     }
 
-    private fun failureOf(target: TargetId?, error: ProxyError): AttemptFailure = if (target == null ||
-        error.kind.promisesNoEffect
-    ) {
-        AttemptFailure.NotRun(target, error)
-    } else {
-        AttemptFailure.MayHaveRun(target, error)
+    private fun failureOf(target: TargetId?, error: ProxyError): AttemptFailure {
+        val isNotRun = target == null || error.kind.promisesNoEffect
+        return if (isNotRun) AttemptFailure.NotRun(target, error) else AttemptFailure.MayHaveRun(target, error)
     }
 
     private suspend fun proceed(chain: Chain, route: Result<Route, ProxyError>): Result<ProxyResponse, ProxyError> {
--- a/daemon/src/main/kotlin/org/buckthornhub/connection/SessionTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/SessionTask.kt
@@ -3,7 +3,6 @@
 import com.github.michaelbull.result.getOrElse
 import com.github.michaelbull.result.mapBoth
 import io.github.oshai.kotlinlogging.KotlinLogging
-import kotlinx.collections.immutable.persistentListOf
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
@@ -15,7 +14,6 @@
 import kotlinx.coroutines.selects.select
 import kotlinx.coroutines.supervisorScope
 import kotlinx.coroutines.withTimeoutOrNull
-import org.buckthornhub.coordination.ProxyView
 import org.buckthornhub.decisionlog.DecisionEvent
 import org.buckthornhub.error.ErrorKind
 import org.buckthornhub.error.ProxyError
@@ -32,6 +30,7 @@
 ) {
     private val gate = AdmissionGate(environment)
     private val statementRunner = SingleStatementRunner(environment)
+    private val recorder = StatementRecorder(environment)
     private var session = SessionState()
     private var transaction: TransactionRunner? = null
     private lateinit var caller: CallerIdentity
@@ -185,44 +184,13 @@
 
     private fun complete(reply: TargetReply.Completed, served: ServedStatement? = null) {
         link.send(ClientReply.Completed(reply.rows, reply.signature, phase(), reply.position))
-        val id = current ?: return
-        val event = DecisionEvent.RequestServed(
-            id = id,
-            database = caller.database,
-            guarantee = guaranteeIn(environment.view.value),
-            tookMillis = elapsedMillis(),
-            target = served?.outcome?.lease?.instance?.target,
-            waitedMillis = served?.outcome?.lease?.waitedMillis,
-            attempts = served?.failedAttempts ?: persistentListOf(),
-        )
-        environment.decisions.record(event)
-    }
-
-    private fun guaranteeIn(view: ProxyView) = view.table?.routes?.get(caller.database)?.guarantee
-
-    private fun elapsedMillis() = environment.clock.nowMillis() - startedMillis
-
-    private fun recordFailure(failure: StatementFailure) {
-        val view = environment.view.value
-        environment.decisions.record(
-            DecisionEvent.RequestFailed(
-                id = current,
-                database = caller.database,
-                guarantee = guaranteeIn(view),
-                organisation = view.table?.holderOf(caller.key)?.organisation,
-                error = failure.error,
-                tookMillis = elapsedMillis(),
-                tableVersion = view.table?.version,
-                tableAgeMillis = view.ageMillis(environment.clock),
-                attempts = failure.attempts,
-            ),
-        )
+        current?.let { recorder.recordServed(it, caller, startedMillis, served) }
     }
 
     private fun refuse(failure: StatementFailure, state: SessionState) {
         session = state
         link.send(ClientReply.Failed(failure.error, phase()))
-        recordFailure(failure)
+        recorder.recordFailed(current, caller, startedMillis, failure)
     }
 
     private fun failTransaction(error: ProxyError): Boolean = failTransaction(StatementFailure.refused(error))
