Claim nothing about earlier attempts when a key has moved

What callers could read: "nothing was sent" in the detail of a refusal whose earlier attempt had been sent, as a statement that is tried again waits for a connection again. The kind of the error was right in each case, since the attempts are combined by what may have run.

Change: the detail says why the statement does not go on, and nothing of what was sent. No test compares the text.

--- a/core/src/main/kotlin/org/buckthornhub/connection/AdmissionRules.kt
+++ b/core/src/main/kotlin/org/buckthornhub/connection/AdmissionRules.kt
@@ -42,6 +42,6 @@
         val holder = table.holderOf(key)?.organisation ?: OrganisationId.NONE
         if (holder == organisation) return null
         admit(table, database, key).getError()?.let { return it }
-        return ProxyError(ErrorKind.QUEUE_FULL, "the holder of the key changed while the statement waited; nothing was sent")
+        return ProxyError(ErrorKind.QUEUE_FULL, "the holder of the key changed while the statement waited for a connection")
     }
 }
