Spread the members of the control quorum over availability zones

Cause: a silent member was replaced by the first VM that stood by, whatever its zone.

Ruled out: the placement at the first start (one introducer in each of three zones), and the two first sites, which have one control VM a zone.

Change: control VMs tell the leader their zone with their answers. The VM whose zone has the fewest members takes the place of a silent one; a member that shares its zone gives way to a VM of a free zone, and stands by.

--- a/core/src/main/kotlin/org/buckthornhub/replication/FollowerReplication.kt
+++ b/core/src/main/kotlin/org/buckthornhub/replication/FollowerReplication.kt
@@ -53,6 +53,7 @@
                 index = matchIndex ?: minOf(state.log.lastIndex, state.commitIndex),
                 echo = nowMillis,
                 run = state.run,
+                zone = state.settings.zone,
             )
         return step.send(leader, message)
     }
--- a/core/src/main/kotlin/org/buckthornhub/replication/LeaderReplication.kt
+++ b/core/src/main/kotlin/org/buckthornhub/replication/LeaderReplication.kt
@@ -74,7 +74,7 @@
     fun onAppendAnswer(start: Step, message: PeerMessage.AppendAnswer, nowMillis: Long): Step {
         val leader = start.state.role as? Role.Leader ?: return start
         val progress = leader.followers[message.from] ?: return start
-        val next = updateProgress(progress, message, leader.round).copy(lastContactMillis = nowMillis)
+        val next = updateProgress(progress, message, leader.round).copy(lastContactMillis = nowMillis, zone = message.zone)
         val step = start.updateLeader { copy(followers = followers.put(message.from, next)) }
         val committed = Membership.reconfigure(announceCommit(LogCommitter.advance(step), nowMillis, start), nowMillis)
         val hasMore = next.nextIndex <= start.state.log.lastIndex && next.nextIndex != progress.nextIndex
--- a/core/src/main/kotlin/org/buckthornhub/replication/Membership.kt
+++ b/core/src/main/kotlin/org/buckthornhub/replication/Membership.kt
@@ -21,20 +21,38 @@
         val state = step.state
         val isPreviousChangeCommitted = state.commitIndex >= leader.firstIndex && state.commitIndex >= state.log.membersIndex
         if (!isPreviousChangeCommitted) return step
+        val spread = ZoneSpread.of(state, leader)
         val silent = silentMember(state, leader, nowMillis)
-        if (silent != null &&
-            state.log.members.size > state.settings.vms.size
-        ) {
-            return change(step, state.log.members - silent, silent, nowMillis)
+        val surplus = silent ?: crowdedMember(state, spread)
+        if (surplus != null && state.log.members.size > state.settings.vms.size) {
+            return if (surplus ==
+                silent
+            ) {
+                change(step, state.log.members - surplus, surplus, nowMillis)
+            } else {
+                demote(step, surplus, nowMillis)
+            }
         }
-        val learner = leader.followers.entries
-            .firstOrNull { (member, progress) -> isCaughtUp(state, member, progress) && isNeeded(state, member, silent) }
-            ?.key ?: return step
+        val learner = leader.followers
+            .filter { (member, progress) -> isCaughtUp(state, member, progress) }.keys
+            .filter { isNeeded(state, it, silent) || surplus != null && spread.isAloneInZone(it, state.log.members) }
+            .minByOrNull { spread.crowding(it, state.log.members - setOfNotNull(silent)) } ?: return step
         val replaced = state.log.members.firstOrNull { it.vm == learner.vm }
         val members = if (replaced != null) state.log.members - replaced else state.log.members + learner
         return change(step, members, replaced, nowMillis)
     }
 
+    private fun crowdedMember(state: ReplicationState, spread: ZoneSpread): Member? =
+        if (state.settings.allowsStandby) spread.surplus(state.log.members, kept = state.self) else null
+
+    // The member stands by from now on.
+    private fun demote(step: Step, member: Member, nowMillis: Long): Step {
+        val standby = step.updateLeader {
+            copy(followers = followers[member]?.let { followers.put(member, it.copy(catchUpIndex = step.state.commitIndex)) } ?: followers)
+        }
+        return change(standby, step.state.log.members - member, dropped = null, nowMillis)
+    }
+
     /** Removes standby learners that have not answered for [ReplicationSettings.silentMillis]. */
     fun dropSilentLearners(step: Step, nowMillis: Long): Step {
         val leader = step.state.role as? Role.Leader ?: return step
--- a/core/src/main/kotlin/org/buckthornhub/replication/PeerMessage.kt
+++ b/core/src/main/kotlin/org/buckthornhub/replication/PeerMessage.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import org.buckthornhub.fleet.ZoneId
 
 /** Message between members of the quorum. Any message may be lost, duplicated, delayed or reordered. */
 @Serializable
@@ -90,6 +91,7 @@
      * @property index last index that matches the leader's log if [isMatched], otherwise the index from which the leader should retry
      * @property echo monotonic time of the sender at the answer, in ms
      * @property run run of the sender, which [echo] is bound to; null from a version that sends no run, whose echo is not returned
+     * @property zone availability zone of the sender; null if it is not known
      */
     @Serializable
     @SerialName("append-answer")
@@ -101,5 +103,6 @@
         val index: Long,
         val echo: Long,
         val run: RunId? = null,
+        val zone: ZoneId? = null,
     ) : PeerMessage
 }
--- a/core/src/main/kotlin/org/buckthornhub/replication/ReplicationSettings.kt
+++ b/core/src/main/kotlin/org/buckthornhub/replication/ReplicationSettings.kt
@@ -1,6 +1,7 @@
 package org.buckthornhub.replication
 
 import org.buckthornhub.fleet.VmId
+import org.buckthornhub.fleet.ZoneId
 
 /**
  * Timings and sizes of the replicated log.
@@ -8,6 +9,7 @@
  * @property vms the configured control VMs, including this one if it is one of them; their number is the intended size of the quorum
  * @property mayBootstrap whether this VM may form a new quorum; false if it may have lost the disk of an earlier one, so that it only joins
  * @property allowsStandby whether other VMs may join as standby and replace a member that has not answered for [silentMillis]
+ * @property zone availability zone of this VM; where it is given, standby VMs take the places of members so that zones share few
  * @property electionMillis minimum election timeout; the actual one is chosen at random between this and twice this
  * @property compactAfter number of applied entries after which the log is compacted into a snapshot
  * @property batchLimit maximum number of entries in one message
@@ -18,6 +20,7 @@
     val mayBootstrap: Boolean = true,
     val allowsStandby: Boolean = false,
     val silentMillis: Long = 3_000,
+    val zone: ZoneId? = null,
     val heartbeatMillis: Long = 100,
     val electionMillis: Long = 400,
     val compactAfter: Int = 256,
--- a/core/src/test/kotlin/org/buckthornhub/replication/FakeCluster.kt
+++ b/core/src/test/kotlin/org/buckthornhub/replication/FakeCluster.kt
@@ -5,6 +5,7 @@
 import org.buckthornhub.control.ControlCommand
 import org.buckthornhub.control.MachineState
 import org.buckthornhub.fleet.VmId
+import org.buckthornhub.fleet.ZoneId
 import kotlin.random.Random
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
@@ -19,6 +20,7 @@
     size: Int = 3,
     compactAfter: Int = 12,
     allowsStandby: Boolean = false,
+    private val zones: Map<VmId, ZoneId> = emptyMap(),
 ) {
     var vms = (1..size).map { VmId("vm$it") }
         private set
@@ -186,7 +188,7 @@
         val disk = disks.getValue(vm)
         return ReplicationState(
             disk.member,
-            settings,
+            settings.copy(zone = zones[vm]),
             seed = random.nextLong(),
             run = RunId("run${++runCount}"),
             durable = disk.load(),
--- a/daemon/src/main/kotlin/org/buckthornhub/daemon/ControlVmAssembly.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/daemon/ControlVmAssembly.kt
@@ -115,6 +115,7 @@
                 vms = settings.introducers.toSet(),
                 mayBootstrap = settings.isFirstStart,
                 allowsStandby = true,
+                zone = settings.zone,
                 heartbeatMillis = HEARTBEAT_MILLIS,
                 electionMillis = ELECTION_MILLIS,
                 compactAfter = COMPACT_AFTER,
--- a/daemon/src/main/kotlin/org/buckthornhub/daemon/ControlVmSettings.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/daemon/ControlVmSettings.kt
@@ -1,10 +1,12 @@
 package org.buckthornhub.daemon
 
 import org.buckthornhub.fleet.VmId
+import org.buckthornhub.fleet.ZoneId
 
 /**
  * Settings of a control VM that discovers the quorum through introducers.
  *
+ * @property zone availability zone of the VM; the members of the quorum are spread over zones
  * @property introducers VMs that are contacted to discover the quorum; at the first start they bootstrap it
  * @property isFirstStart true only if no quorum has ever been bootstrapped
  * @property port TCP port of the interface between daemons, the same on all control VMs
@@ -12,6 +14,7 @@
  */
 public data class ControlVmSettings(
     val vm: VmId,
+    val zone: ZoneId,
     val introducers: List<VmId>,
     val isFirstStart: Boolean,
     val port: Int,
