Size the control quorum by the losses that the platform states

Cause: the quorum had as many members as the settings name introducers, three. The grown and large sites may lose two machines with a disk at once; if both are members, no majority is left.

The introducers form the quorum, and VMs that stand by join until it has 2 n + 1 members. They were sent every entry before, so nothing more is sent.

--- a/core/src/main/kotlin/org/buckthornhub/replication/Membership.kt
+++ b/core/src/main/kotlin/org/buckthornhub/replication/Membership.kt
@@ -24,7 +24,7 @@
         val spread = ZoneSpread.of(state, leader)
         val silent = silentMember(state, leader, nowMillis)
         val surplus = silent ?: crowdedMember(state, spread)
-        if (surplus != null && state.log.members.size > state.settings.vms.size) {
+        if (surplus != null && state.log.members.size > state.settings.size) {
             return if (surplus ==
                 silent
             ) {
@@ -75,7 +75,7 @@
     // Where standby VMs are allowed, one is promoted only if a member is missing or its VM returns with another disk.
     private fun isNeeded(state: ReplicationState, learner: Member, silent: Member?): Boolean {
         val isReturning = state.log.members.any { it.vm == learner.vm }
-        return !state.settings.allowsStandby || isReturning || silent != null || state.log.members.size < state.settings.vms.size
+        return !state.settings.allowsStandby || isReturning || silent != null || state.log.members.size < state.settings.size
     }
 
     private fun silentMember(state: ReplicationState, leader: Role.Leader, nowMillis: Long): Member? {
--- a/core/src/main/kotlin/org/buckthornhub/replication/ReplicationSettings.kt
+++ b/core/src/main/kotlin/org/buckthornhub/replication/ReplicationSettings.kt
@@ -6,7 +6,8 @@
 /**
  * Timings and sizes of the replicated log.
  *
- * @property vms the configured control VMs, including this one if it is one of them; their number is the intended size of the quorum
+ * @property vms the configured control VMs, including this one if it is one of them, which form the first quorum
+ * @property size intended number of members; a quorum that is smaller takes in standby VMs
  * @property mayBootstrap whether this VM may form a new quorum; false if it may have lost the disk of an earlier one, so that it only joins
  * @property allowsStandby whether other VMs may join as standby and replace a member that has not answered for [silentMillis]
  * @property zone availability zone of this VM; where it is given, standby VMs take the places of members so that zones share few
@@ -17,6 +18,7 @@
  */
 public data class ReplicationSettings(
     val vms: Set<VmId>,
+    val size: Int = vms.size,
     val mayBootstrap: Boolean = true,
     val allowsStandby: Boolean = false,
     val silentMillis: Long = 3_000,
--- a/core/src/test/kotlin/org/buckthornhub/replication/FakeCluster.kt
+++ b/core/src/test/kotlin/org/buckthornhub/replication/FakeCluster.kt
@@ -21,11 +21,18 @@
     compactAfter: Int = 12,
     allowsStandby: Boolean = false,
     private val zones: Map<VmId, ZoneId> = emptyMap(),
+    quorumSize: Int = size,
 ) {
     var vms = (1..size).map { VmId("vm$it") }
         private set
     private val settings =
-        ReplicationSettings(vms = vms.toSet(), allowsStandby = allowsStandby, compactAfter = compactAfter, batchLimit = 8)
+        ReplicationSettings(
+            vms = vms.toSet(),
+            size = quorumSize,
+            allowsStandby = allowsStandby,
+            compactAfter = compactAfter,
+            batchLimit = 8,
+        )
     private val decider = ReplicationDecider()
     private var diskCount = 0
     private var runCount = 0
--- a/daemon/src/main/kotlin/org/buckthornhub/daemon/ControlVmAssembly.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/daemon/ControlVmAssembly.kt
@@ -113,6 +113,8 @@
         val replication =
             ReplicationSettings(
                 vms = settings.introducers.toSet(),
+                // The members that are left have to be a majority.
+                size = maxOf(settings.introducers.toSet().size, 2 * settings.toleratedLosses + 1),
                 mayBootstrap = settings.isFirstStart,
                 allowsStandby = true,
                 zone = settings.zone,
--- a/daemon/src/main/kotlin/org/buckthornhub/daemon/ControlVmSettings.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/daemon/ControlVmSettings.kt
@@ -9,6 +9,7 @@
  * @property zone availability zone of the VM; the members of the quorum are spread over zones
  * @property introducers VMs that are contacted to discover the quorum; at the first start they bootstrap it
  * @property isFirstStart true only if no quorum has ever been bootstrapped
+ * @property toleratedLosses number of control VMs that may be lost with their disks at the same time
  * @property port TCP port of the interface between daemons, the same on all control VMs
  * @property isFencedByPlatform whether an old primary loses its role at the moment of a promotion; see docs/design/platform.md
  */
@@ -17,6 +18,7 @@
     val zone: ZoneId,
     val introducers: List<VmId>,
     val isFirstStart: Boolean,
+    val toleratedLosses: Int,
     val port: Int,
     val dataFolder: String,
     val isFencedByPlatform: Boolean = true,
