Check a configuration document before it is sent

Cause: operators learned of a fault only from a refusal, one at a time and without its place, and never of entries that are accepted and have no effect.

Change: buckthornhub check lists errors, entries that nothing can match, contradictory limits and the differences from the document in force, each with its line.

--- a/cli/src/main/kotlin/org/buckthornhub/cli/CommandLine.kt
+++ b/cli/src/main/kotlin/org/buckthornhub/cli/CommandLine.kt
@@ -1,5 +1,6 @@
 package org.buckthornhub.cli
 
+import org.buckthornhub.cli.check.CheckCommand
 import org.buckthornhub.cli.explain.ExplainCommand
 import org.buckthornhub.cli.grant.GrantCommand
 import org.buckthornhub.cli.key.KeyCommand
@@ -19,7 +20,7 @@
         required = true,
         metaVar = "COMMAND",
         handler = SubCommandHandler::class,
-        usage = "statement, load, plan, grant, key, primary, status, explain",
+        usage = "statement, load, plan, grant, key, primary, status, explain, check",
     )
     @SubCommands(
         SubCommand(name = "statement", impl = StatementCommand::class),
@@ -30,6 +31,7 @@
         SubCommand(name = "primary", impl = PrimaryCommand::class),
         SubCommand(name = "status", impl = StatusCommand::class),
         SubCommand(name = "explain", impl = ExplainCommand::class),
+        SubCommand(name = "check", impl = CheckCommand::class),
     )
     var command: Command? = null
 }
--- a/core/src/test/kotlin/org/buckthornhub/routetable/RouteTableCommandTest.kt
+++ b/core/src/test/kotlin/org/buckthornhub/routetable/RouteTableCommandTest.kt
@@ -7,6 +7,8 @@
 import org.buckthornhub.group.GroupId
 import org.buckthornhub.organisation.KeyDigest
 import org.buckthornhub.organisation.OrganisationId
+import org.buckthornhub.routetable.review.RouteTableDraft
+import org.buckthornhub.routetable.review.RouteTableReview
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.MethodSource
 import kotlin.test.assertEquals
@@ -31,8 +33,9 @@
     @ParameterizedTest
     @MethodSource("invalidTables")
     fun `each error is reported`(case: RouteTableCase) {
-        val table = RouteTable(1, groups = mapOf(GroupId("g") to GroupLimits(9)))
-        assertEquals(case.errors, RouteTableValidator.errorsIn(table, case.routes, case.organisations).size)
+        val groups = listOf(GroupId("g") to GroupLimits(9))
+        val draft = RouteTableDraft(RouteTable(1, groups = groups.toMap()), case.routes, groups, case.organisations)
+        assertEquals(case.errors, RouteTableReview.errorsIn(draft).size)
     }
 
     private companion object {
