Bound the fallback by what daemons heard, and record the flood replay

Cause: with half of the burst for organisations that were not low, 1 of 2,000 random schedules exceeded the quota by 1 %: daemons that were cut off before the flood began spent what they had last heard of. And the backoff after a short answer, up to 100 ms, refused three times as many operations while a token was left as one of up to 30 ms.

The price: 15 instead of 7 refusals of some 42 operations at the usual load around a change of leader.

--- a/balancing/src/main/kotlin/org/buckthornhub/quota/AdaptiveReserveUse.kt
+++ b/balancing/src/main/kotlin/org/buckthornhub/quota/AdaptiveReserveUse.kt
@@ -11,7 +11,7 @@
 
     // A longer backoff would refuse the very caller that was told to return for that token.
     override fun nextRequestMillis(retryAfterMillis: Long, nowMillis: Long): Long =
-        nowMillis + retryAfterMillis.coerceIn(MIN_BACKOFF_MILLIS, FixedReserveUse.RESERVE_BACKOFF_MILLIS)
+        nowMillis + retryAfterMillis.coerceIn(MIN_BACKOFF_MILLIS, MAX_BACKOFF_MILLIS)
 
     // What is left may also be spent while the reserve of a new leader, which starts empty, fills up. The window counts from the
     // last use, because two windows that adjoin would allow the tokens of both at once.
@@ -47,6 +47,9 @@
     /** Longer than a round trip to the leader, so that a flood does not ask it more often than that; in ms. */
     private const val MIN_BACKOFF_MILLIS = 10L
 
+    /** Some round trips. With 100 ms, three times as many operations were refused in the replay while a token was left. */
+    private const val MAX_BACKOFF_MILLIS = 30L
+
     /** Tokens that expire this soon are returned; one interval of the tick, so that none expires between two. In ms. */
     private const val RETURN_BEFORE_MILLIS = 250L
 
--- a/balancing/src/test/kotlin/org/buckthornhub/quota/FloodReplayTest.kt
+++ b/balancing/src/test/kotlin/org/buckthornhub/quota/FloodReplayTest.kt
@@ -10,16 +10,17 @@
 /** Replays the measured flood of docs/design/limits.md, with and without the behaviour that considers the load. */
 internal class FloodReplayTest {
     private val cases = listOf(
-        FloodCase("7.5 times the usual load", load = FloodCase.flood(7.5), wrongful = 150.0),
+        FloodCase("7.5 times the usual load", load = FloodCase.flood(7.5), wrongful = 60.0),
         FloodCase(
             "the same, a tenth reaches no instance",
             load = FloodCase.flood(7.5),
             refundShare = 0.1,
-            wrongful = 400.0,
+            wrongful = 350.0,
             baseline = 1_200.0,
         ),
-        FloodCase("3 times the usual load", load = FloodCase.flood(3.0), wrongful = 60.0, baseline = 100.0),
-        FloodCase("the first second of the fleet", startedMillis = -20, watched = 0L..1_000L, load = {
+        FloodCase("3 times the usual load", load = FloodCase.flood(3.0), wrongful = 30.0, baseline = 100.0),
+        FloodCase("the usual load, around a change of leader", watched = 2_500L..8_000L, wrongful = 15.0),
+        FloodCase("the first second of the fleet", startedMillis = -20, watched = FIRST_SECOND, load = {
             0.9
         }, wrongful = 0.5, baseline = 5.0),
     )
@@ -48,12 +49,10 @@
 
     @Test
     fun `baseline - the quota is exceeded if the fallback ignores what was left`() {
-        assertTrue(
-            RANDOM_SEEDS.count {
-                FloodReplay(randomCase(it), adapts = false, it).run().maxInWindow(WINDOW_MILLIS) > randomCase(it).allowed
-            } >
-                0,
-        )
+        val exceeded = RANDOM_SEEDS.map { it to randomCase(it) }.count { (seed, case) ->
+            FloodReplay(case, adapts = false, seed).run().maxInWindow(WINDOW_MILLIS) > case.allowed
+        }
+        assertTrue(exceeded > 0)
     }
 
     // Floods that begin around the loss of the leader, while some daemons reach no leader at all.
@@ -95,6 +94,7 @@
 
     private companion object {
         val SEEDS = 1..5
+        val FIRST_SECOND = 0L..1_000L
         val RANDOM_SEEDS = 1..150
 
         /** Window over which operators check limits. */
--- a/core/src/main/kotlin/org/buckthornhub/quota/LimitDivision.kt
+++ b/core/src/main/kotlin/org/buckthornhub/quota/LimitDivision.kt
@@ -25,9 +25,9 @@
     /**
      * Fraction of the burst that an organisation that was not low may use; less than [NOT_LOW], as daemons hear of a flood late.
      *
-     * With [NOT_LOW], 4 of 600 random schedules had a window with up to 3 % too many.
+     * With [NOT_LOW], 4 of 600 random schedules had a window with up to 3 % too many; with 0.5, 1 of 2,000 with 1 %.
      */
-    private const val SPARE_BURST = 0.5
+    private const val SPARE_BURST = 0.4
 
     /** Less than the election timeout, in which a fleet that has lost its leader is issued no tokens; in s. */
     private const val LEADERLESS_SECONDS = 0.3
