Choose instances for reads by their measured load, and decide what share leaves the zone

Cause: the cost of an instance assumed 18 ms a statement, three statements at a time and 2 ms for another zone, for every deployment. It knew nothing of the load that other daemons cause, sent about a third of the reads away at usual load (reads on a primary cost more than another zone), and chose one and the same instance at all daemons.

Ruled out: sharing measurements through the reports to the control leader, which costs a round of reports and fails with the leader; a choice of yes or no for a whole zone, which moves all its daemons at once; a failure rate for each instance, as a daemon sees one or two statements a second there.

Change: InstanceCost is an interface with the former estimate (FixedCost, unchanged, used unless PoolSettings.adaptsToLoad) and MeasuredCost. Results of statements come with PoolMessage.Released, the time to open a connection with PoolMessage.Opened. LoadEstimator pools them by instance and zone, a sequential test ejects outliers, LeavingShareDecider moves a share of the reads in bounded steps, and the choice is drawn from the ticket of the request.

--- a/balancing/src/main/kotlin/org/buckthornhub/instancepool/PoolDecider.kt
+++ b/balancing/src/main/kotlin/org/buckthornhub/instancepool/PoolDecider.kt
@@ -11,37 +11,45 @@
 import org.buckthornhub.group.GroupId
 import org.buckthornhub.group.Position
 import org.buckthornhub.horizon.CommitTimeline
+import org.buckthornhub.instancepool.load.StatementOutcome
+import org.buckthornhub.instancepool.load.StatementSample
 import org.buckthornhub.organisation.OrganisationId
 import org.buckthornhub.target.TargetRole
 
 /** Shares the connections of one daemon among its sessions, within the daemon's connection limit for each instance. */
 public class PoolDecider(private val settings: PoolSettings) : Decider<PoolState, PoolMessage, PoolEffect> {
-    private val cost = InstanceCost(settings)
+    private val eligibility = InstanceEligibility(settings)
+    private val cost: InstanceCost = if (settings.adaptsToLoad) MeasuredCost(settings, eligibility) else FixedCost(settings, eligibility)
 
     override fun decide(state: PoolState, message: PoolMessage, nowMillis: Long): Decision<PoolState, PoolEffect> = when (message) {
         is PoolMessage.Acquire -> acquire(state, message.waiting, nowMillis)
-        is PoolMessage.Released -> released(state, message, nowMillis).then { serve(it, nowMillis) }
-        is PoolMessage.Opened -> opened(state, message, nowMillis).then { serve(it, nowMillis) }
-        is PoolMessage.OpenFailed -> serve(openFailed(state, message, nowMillis), nowMillis)
+        is PoolMessage.Released ->
+            released(cost.sampled(state, message.target, message.samples, nowMillis), message, nowMillis).then { serve(it, nowMillis) }
+        is PoolMessage.Opened ->
+            opened(cost.sampled(state, message.target, samplesOf(message), nowMillis), message, nowMillis).then { serve(it, nowMillis) }
+        is PoolMessage.OpenFailed ->
+            serve(openFailed(cost.sampled(state, message.target, OPEN_FAILED, nowMillis), message, nowMillis), nowMillis)
         is PoolMessage.Closed -> serve(closed(state, message), nowMillis)
         is PoolMessage.Demoted -> Decision(state.update(message.target) { copy(isDemoted = true) })
         is PoolMessage.Directory -> directory(state, message.records, nowMillis).then { serve(it, nowMillis) }
         is PoolMessage.Limits ->
             serve(state.copy(limits = message.limits.toPersistentMap(), shortLived = message.shortLived), nowMillis)
-        is PoolMessage.Tick -> expire(state, nowMillis).then { serve(it, nowMillis) }.then { closeLingering(it, nowMillis) }
+        is PoolMessage.Tick -> expire(cost.advanced(state, nowMillis), nowMillis).then {
+            serve(it, nowMillis)
+        }.then { closeLingering(it, nowMillis) }
     }
 
     // Answers the load of callers whose primary is lost: they are told at once, instead of after a wait that can't help.
     private fun acquire(state: PoolState, waiting: PendingConnectionRequest, nowMillis: Long): Decision<PoolState, PoolEffect> {
         val instances = state.instances.values.filter { it.record.group == waiting.request.group }
-        val isHopeless = instances.isNotEmpty() && instances.none { cost.mayServeUntil(it, waiting, nowMillis) }
+        val isHopeless = instances.isNotEmpty() && instances.none { eligibility.mayServeUntil(it, waiting, nowMillis) }
         if (isHopeless) return Decision(state, persistentListOf(refusal(state, waiting, nowMillis)))
         return serve(state.copy(waiting = state.waiting.add(waiting)), nowMillis)
     }
 
     private fun refusal(state: PoolState, waiting: PendingConnectionRequest, nowMillis: Long): PoolEffect {
         val isPrimaryKnown =
-            state.instances.values.any { it.record.group == waiting.request.group && cost.servesAsPrimary(it, nowMillis) }
+            state.instances.values.any { it.record.group == waiting.request.group && eligibility.servesAsPrimary(it, nowMillis) }
         return PoolEffect.Refuse(waiting.ticket, hasNoPrimary = !isPrimaryKnown)
     }
 
@@ -76,6 +84,9 @@
         )
     }
 
+    private fun samplesOf(message: PoolMessage.Opened): List<StatementSample> =
+        listOfNotNull(message.tookMillis?.let { StatementSample(StatementSample.CONNECTION, it, StatementOutcome.CONNECTED) })
+
     private fun openFailed(state: PoolState, message: PoolMessage.OpenFailed, nowMillis: Long): PoolState = state.update(message.target) {
         val pause = (settings.firstRetryMillis shl failures.coerceAtMost(MAX_DOUBLINGS)).coerceAtMost(settings.longestRetryMillis)
         copy(opening = opening.remove(message.connection), failures = failures + 1, retryAtMillis = nowMillis + pause)
@@ -150,12 +161,9 @@
 
     private fun byPriority(state: PoolState): List<PendingConnectionRequest> = state.waiting.sortedBy { it.request.priority }
 
-    private fun cheapest(state: PoolState, waiting: PendingConnectionRequest, nowMillis: Long): PoolInstance? {
-        val limit = state.limitOf(waiting.request.group)
-        return state.instances.values
-            .mapNotNull { instance -> cost.of(instance, waiting.request, limit, nowMillis)?.let { instance to it } }
-            .minByOrNull { it.second }?.first
-    }
+    private fun cheapest(state: PoolState, waiting: PendingConnectionRequest, nowMillis: Long): PoolInstance? = state.instances.values
+        .mapNotNull { instance -> cost.of(state, instance, waiting, nowMillis)?.let { instance to it } }
+        .minByOrNull { it.second }?.first
 
     // A connection of the same organisation that is in use is released about as soon as a new one would be open.
     private fun mayOpen(state: PoolState, instance: PoolInstance, waiting: PendingConnectionRequest, nowMillis: Long): Boolean =
@@ -207,6 +215,8 @@
          */
         public const val EVICTION_DELAY_MILLIS: Long = 10
 
+        private val OPEN_FAILED = listOf(StatementSample(StatementSample.CONNECTION, millis = 0, StatementOutcome.FAILED))
+
         /** The pause after failed connects starts at 100 ms; four doublings give the longest one. */
         private const val MAX_DOUBLINGS = 4
 
--- a/balancing/src/main/kotlin/org/buckthornhub/instancepool/PoolInstance.kt
+++ b/balancing/src/main/kotlin/org/buckthornhub/instancepool/PoolInstance.kt
@@ -6,6 +6,7 @@
 import kotlinx.collections.immutable.persistentMapOf
 import org.buckthornhub.directory.InstanceRecord
 import org.buckthornhub.group.Position
+import org.buckthornhub.instancepool.load.InstanceLoad
 import org.buckthornhub.organisation.OrganisationId
 
 /**
@@ -20,6 +21,7 @@
  * @property lastAnswerMillis time of the last answer of the instance
  * @property leavingSinceMillis time at which this daemon learned that the instance is leaving
  * @property isDemoted true once the instance refused to act as primary, until it announces itself as such again
+ * @property load what the statements of this daemon showed of the instance
  */
 public data class PoolInstance(
     val record: InstanceRecord,
@@ -32,6 +34,7 @@
     val lastAnswerMillis: Long = 0,
     val leavingSinceMillis: Long? = null,
     val isDemoted: Boolean = false,
+    val load: InstanceLoad = InstanceLoad(),
 ) {
     /** Number of connections that count towards the limit: idle, in use and being opened. */
     public val size: Int get() = idle.size + inUse.size + opening.size
--- a/balancing/src/main/kotlin/org/buckthornhub/instancepool/PoolMessage.kt
+++ b/balancing/src/main/kotlin/org/buckthornhub/instancepool/PoolMessage.kt
@@ -4,6 +4,7 @@
 import org.buckthornhub.directory.InstanceRecord
 import org.buckthornhub.group.GroupId
 import org.buckthornhub.group.Position
+import org.buckthornhub.instancepool.load.StatementSample
 import org.buckthornhub.target.TargetId
 
 /** Messages to the connection pool of a daemon. */
@@ -16,6 +17,7 @@
      * @property state session state of the connection on the target; null if it can't be used again
      * @property applied newest position in the answers of the instance
      * @property isSilent true if the instance did not answer in time
+     * @property samples results of the newest statements on this connection since it was checked out, oldest first
      */
     public data class Released(
         val connection: ConnectionId,
@@ -23,12 +25,15 @@
         val state: TargetConnectionState?,
         val applied: Position?,
         val isSilent: Boolean = false,
+        val samples: List<StatementSample> = emptyList(),
     ) : PoolMessage
 
+    /** @property tookMillis time that the instance took to open the connection; null if unknown */
     public data class Opened(
         val connection: ConnectionId,
         val target: TargetId,
         val applied: Position?,
+        val tookMillis: Long? = null,
     ) : PoolMessage
 
     /** The connection could not be opened: the instance is unreachable, accepts no more connections, or is not the expected one. */
