Time statements at instances, and show the share of reads that leaves the zone

Cause: the pool of a daemon had no measurements to choose instances by.

Ruled out: the time for which a connection is held, as a transaction holds it during the caller's pauses; the time of BEGIN, COMMIT and ROLLBACK, which take no slot of the instance.

Change: StatementTimer times the statements of a lease and learns refusals and failures; a lease reports the newest 16 with its release. PoolTask reports the time to open a connection. SessionProxySettings.leavingPriceMillis is the price of leaving, 15 ms by default. Where adaptsToLoad is set, there are metrics of shares, times and ejections, and a log line for a changed share, at most one in 2 s for each group.

Without adaptsToLoad no decision uses the samples.

--- a/daemon/src/main/kotlin/org/buckthornhub/daemon/SessionProxyAssembly.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/daemon/SessionProxyAssembly.kt
@@ -32,6 +32,8 @@
 import org.buckthornhub.http.HttpLink
 import org.buckthornhub.http.Route
 import org.buckthornhub.instancepool.ConnectionShare
+import org.buckthornhub.instancepool.LoadLogTask
+import org.buckthornhub.instancepool.LoadMetrics
 import org.buckthornhub.instancepool.PoolCommand
 import org.buckthornhub.instancepool.PoolMessage
 import org.buckthornhub.instancepool.PoolSettings
@@ -49,7 +51,7 @@
     decisions: DecisionLog = DecisionLog.NONE,
 ) {
     private val registry = PrometheusRegistry()
-    private val pool = PoolTask(PoolSettings(settings.zone, settings.primaryDrainMillis), targets, clock)
+    private val pool = PoolTask(poolSettings(), targets, clock)
     private val view = MutableStateFlow(ProxyView())
     private val authority =
         if (settings.isFencedByPlatform) PrimaryAuthority.FENCED_BY_PLATFORM else LeasedPrimaryAuthority(view, clock)
@@ -95,6 +97,7 @@
     public fun start(scope: CoroutineScope) {
         this.scope = scope
         listOf(pool, commitTimelines, rateLimiter, report).forEach { it.start(scope) }
+        if (settings.adaptsToLoad) LoadLogTask(pool, settings.leavingPriceMillis, clock).start(scope)
         introduce(settings.introducers)
         scope.launch {
             report.view.map { it.positions }.distinctUntilChanged().collect { commitTimelines.offer(CommitTimelineMessage.Shared(it)) }
@@ -125,6 +128,14 @@
         delay((settings.graceMillis - BALANCER_NOTICE_MILLIS - EXIT_MARGIN_MILLIS).coerceAtLeast(0))
     }
 
+    private fun poolSettings() = PoolSettings(
+        settings.zone,
+        settings.primaryDrainMillis,
+        adaptsToLoad = settings.adaptsToLoad,
+        leavingPriceMillis = settings.leavingPriceMillis,
+        seed = settings.vm.value.hashCode().toLong(),
+    )
+
     private fun isCutOff(): Boolean = !report.view.value.isFresh(clock, CUT_OFF_MILLIS) && commitTimelines.areMostPrimariesUnresponsive()
 
     private fun withMetrics(decisions: DecisionLog): DecisionLog {
@@ -144,6 +155,7 @@
         SessionMetrics.gauge(registry, "buckthornhub_waiting_statements", "Statements that wait for a connection.") {
             pool.current().waiting.size.toDouble()
         }
+        if (settings.adaptsToLoad) LoadMetrics(pool, clock).register(registry)
         BoundedQueueAppender.registerMetrics(registry)
         return CompositeDecisionLog(listOf(SessionMetrics(registry), decisions))
     }
--- a/daemon/src/main/kotlin/org/buckthornhub/daemon/SessionProxySettings.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/daemon/SessionProxySettings.kt
@@ -2,6 +2,7 @@
 
 import org.buckthornhub.fleet.VmId
 import org.buckthornhub.fleet.ZoneId
+import org.buckthornhub.instancepool.PoolSettings
 import org.buckthornhub.quota.LimitTolerance
 
 /**
@@ -17,6 +18,7 @@
  * @property adaptsToLoad whether placement, waiting and refusals follow the measured load; otherwise fixed estimates are used
  * @property evacuationMillis time from an operator's order to evacuate a zone until no request may reach an instance there; null if
  * the deployment has no such orders
+ * @property leavingPriceMillis how many ms shorter a read must be in another zone to be worth sending there, where [adaptsToLoad]
  */
 public data class SessionProxySettings(
     val vm: VmId,
@@ -30,4 +32,5 @@
     val isFencedByPlatform: Boolean = true,
     val adaptsToLoad: Boolean = false,
     val evacuationMillis: Long? = null,
+    val leavingPriceMillis: Long = PoolSettings.DEFAULT_LEAVING_PRICE_MILLIS,
 )
--- a/daemon/src/main/kotlin/org/buckthornhub/instancepool/PoolTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/instancepool/PoolTask.kt
@@ -123,8 +123,10 @@
 
     private fun checkOut(effect: PoolEffect.CheckOut) {
         val link = openLinks[effect.connection.id]?.takeIf { it.isOpen }
-        val waitedMillis = pending[effect.ticket]?.let { clock.nowMillis() - it.requestedMillis } ?: 0
-        val lease = link?.let { TargetLease(effect.connection, effect.instance, waitedMillis, it, this) }
+        val waiting = pending[effect.ticket]
+        val waitedMillis = waiting?.let { clock.nowMillis() - it.requestedMillis } ?: 0
+        val priority = waiting?.request?.priority ?: 0
+        val lease = link?.let { TargetLease(effect.connection, effect.instance, waitedMillis, it, this, StatementTimer(priority, clock)) }
         val result = lease?.let { Ok(it) } ?: Err(ProxyError(ErrorKind.NO_TARGET, "the connection to ${effect.instance.target} was closed"))
         complete(effect.ticket, result)
         if (lease == null) offer(PoolCommand.Decide(PoolMessage.Released(effect.connection.id, effect.connection.target, null, null)))
@@ -147,12 +149,14 @@
     private suspend fun connect(effect: PoolEffect.Open) {
         val target = effect.instance.target
         val onEnd: () -> Unit = { offer(PoolCommand.Decide(PoolMessage.Closed(effect.connection, target))) }
+        val startedMillis = clock.nowMillis()
         val link = open(effect, onEnd).getOrElse { failure ->
             logger.debug { "failed to connect to $target at ${effect.instance.address}: ${failure.detail}" }
             report(PoolCommand.Decide(PoolMessage.OpenFailed(effect.connection, target)))
             return
         }
-        report(PoolCommand.LinkOpened(effect.connection, link, PoolMessage.Opened(effect.connection, target, link.position)))
+        val opened = PoolMessage.Opened(effect.connection, target, link.position, clock.nowMillis() - startedMillis)
+        report(PoolCommand.LinkOpened(effect.connection, link, opened))
     }
 
     // A connection that is neither reported as opened nor as failed would count as being opened for good.
--- a/daemon/src/main/kotlin/org/buckthornhub/instancepool/TargetLease.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/instancepool/TargetLease.kt
@@ -28,6 +28,7 @@
     val waitedMillis: Long,
     private val link: TargetLink,
     private val pool: Mailbox<PoolCommand>,
+    private val timer: StatementTimer,
 ) {
     private var state: TargetConnectionState = connection.state
     private var applied: Position? = null
@@ -36,7 +37,7 @@
     private var isReleased = false
 
     suspend fun run(statement: TargetStatement, timeoutMillis: Long): Result<TargetReply, TargetLinkFailure> {
-        val reply = link.run(statement, timeoutMillis).getOrElse { failure ->
+        val reply = timer.run(statement) { link.run(statement, timeoutMillis) }.getOrElse { failure ->
             isUsable = false
             isSilent = failure.isSilent
             return Err(failure)
@@ -71,6 +72,6 @@
         if (isReleased) return
         isReleased = true
         val kept = state.takeIf { isUsable && link.isOpen }
-        pool.offer(PoolCommand.Decide(PoolMessage.Released(connection.id, connection.target, kept, applied, isSilent)))
+        pool.offer(PoolCommand.Decide(PoolMessage.Released(connection.id, connection.target, kept, applied, isSilent, timer.samples)))
     }
 }
