Replicate evacuations of zones, and replace primaries in them

Cause: an operator can't order that nothing more is sent to the instances of an availability zone.

Change: the replicated state holds the evacuated zones and a revision. An order names the revision that it was given at, so that a repetition that arrives late does not undo the opposite order; one that is in force already is accepted without a change. The control leader treats instances of evacuated zones as leaving: their primaries are replaced, and they are not surveyed; a candidate whose zone is evacuated during a survey is dropped. The new fields are not written while they are empty, so that logs and messages stay the same.

Ruled out: a change id as for keys. A repetition after the end would be accepted with the outcome of the first order, although it is not in force.

--- a/core/src/main/kotlin/org/buckthornhub/control/ControlCommand.kt
+++ b/core/src/main/kotlin/org/buckthornhub/control/ControlCommand.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import org.buckthornhub.fleet.ZoneId
 import org.buckthornhub.group.GroupId
 import org.buckthornhub.group.GroupLeadership
 import org.buckthornhub.group.Term
@@ -68,6 +69,20 @@
         val expected: Long,
     ) : ControlCommand
 
+    /**
+     * Starts or ends the evacuation of [zone], if there were [expected] changes of evacuations so far; a state that is already in
+     * force is accepted in any case.
+     *
+     * A resend that arrives after the opposite order therefore does not undo that order.
+     */
+    @Serializable
+    @SerialName("set-evacuation")
+    public data class SetEvacuation(
+        val zone: ZoneId,
+        val isEvacuated: Boolean,
+        val expected: Long,
+    ) : ControlCommand
+
     /** Changes nothing. */
     @Serializable
     @SerialName("no-op")
--- a/core/src/main/kotlin/org/buckthornhub/control/ControlDelta.kt
+++ b/core/src/main/kotlin/org/buckthornhub/control/ControlDelta.kt
@@ -1,5 +1,7 @@
 package org.buckthornhub.control
 
+import kotlinx.serialization.EncodeDefault
+import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.Serializable
 import org.buckthornhub.group.GroupId
 import org.buckthornhub.group.GroupLeadership
@@ -12,6 +14,7 @@
 import org.buckthornhub.routetable.StoredRouteTable
 
 /** Difference between the control states of revision [from] and revision [to]. Keys and leaderships are never removed. */
+@OptIn(ExperimentalSerializationApi::class)
 @Serializable
 public data class ControlDelta(
     val from: Long,
@@ -27,4 +30,5 @@
     val leaderships: Map<GroupId, GroupLeadership> = emptyMap(),
     val routeTable: StoredRouteTable? = null,
     val designations: PrimaryDesignations? = null,
+    @EncodeDefault(EncodeDefault.Mode.NEVER) val evacuations: Evacuations? = null,
 )
--- a/core/src/main/kotlin/org/buckthornhub/control/ControlDeltas.kt
+++ b/core/src/main/kotlin/org/buckthornhub/control/ControlDeltas.kt
@@ -22,6 +22,7 @@
             leaderships = changed(old.leaderships, new.leaderships),
             routeTable = new.routeTable.takeIf { it != old.routeTable },
             designations = new.designations.takeIf { it != old.designations },
+            evacuations = new.evacuations.takeIf { it != old.evacuations },
         )
     }
 
@@ -43,6 +44,7 @@
             leaderships = state.leaderships + delta.leaderships,
             routeTable = delta.routeTable ?: state.routeTable,
             designations = delta.designations ?: state.designations,
+            evacuations = delta.evacuations ?: state.evacuations,
         )
     }
 
--- a/core/src/main/kotlin/org/buckthornhub/control/ControlStateMachine.kt
+++ b/core/src/main/kotlin/org/buckthornhub/control/ControlStateMachine.kt
@@ -25,6 +25,7 @@
         is ControlCommand.ReplaceRouteTable -> replaceRouteTable(state, command)
         is ControlCommand.SetLeadership -> setLeadership(state, command)
         is ControlCommand.DesignatePrimary -> designatePrimary(state, command)
+        is ControlCommand.SetEvacuation -> setEvacuation(state, command)
         is ControlCommand.NoOp -> state to CommandOutcome.Accepted(state.control.revision)
     }
 
@@ -124,6 +125,20 @@
         return accept(state.copy(control = control), control.configuration)
     }
 
+    private fun setEvacuation(state: MachineState, command: ControlCommand.SetEvacuation): Pair<MachineState, CommandOutcome> {
+        Evacuations.errorIn(command.zone)?.let { return state to CommandOutcome.Invalid(listOf(it)) }
+        val current = state.control.evacuations
+        val next = current.with(command.zone, command.isEvacuated)
+        if (next == current) return state to CommandOutcome.Accepted(state.control.revision)
+        if (current.revision != command.expected) {
+            return state to CommandOutcome.Conflict("the evacuated zones are ${current.zones}, change number ${current.revision}")
+        }
+        if (next.zones.size > Evacuations.MAX_ZONES) {
+            return state to CommandOutcome.Invalid(listOf("at most ${Evacuations.MAX_ZONES} zones can be evacuated at a time"))
+        }
+        return accept(state.copy(control = state.control.copy(evacuations = next)), state.control.configuration)
+    }
+
     private fun accept(state: MachineState, configuration: Configuration): Pair<MachineState, CommandOutcome> {
         val revision = state.control.revision + 1
         val control = state.control.copy(configuration = configuration.copy(revision = revision))
--- a/core/src/main/kotlin/org/buckthornhub/coordination/CoordinatorDecider.kt
+++ b/core/src/main/kotlin/org/buckthornhub/coordination/CoordinatorDecider.kt
@@ -71,6 +71,7 @@
             unreachable = reporting,
             probed = leading.probed.keys.filter { it !in demand.reports }.fold(leading.probed) { map, vm -> map.remove(vm) },
             designations = message.designations,
+            evacuated = message.evacuated,
             leases = leading.leases.pruned(nowMillis),
         )
         return review(next, nowMillis)
@@ -90,9 +91,12 @@
         return decideFailover(state, message, nowMillis)
     }
 
-    // An old primary that has not noticed its successor still claims to lead.
+    // An old primary that has not noticed its successor still claims to lead. Instances of an evacuated zone are replaced like those
+    // that leave.
     private fun effectiveRecords(state: CoordinatorState): List<InstanceRecord> = state.directory.records.values.map {
-        if (it.role == TargetRole.PRIMARY && !state.designations.allows(it.group, it.target)) it.copy(role = TargetRole.REPLICA) else it
+        val isReplaced = it.role == TargetRole.PRIMARY && !state.designations.allows(it.group, it.target)
+        val isLeaving = it.isLeaving || it.zone in state.evacuated
+        if (isReplaced || isLeaving) it.copy(role = if (isReplaced) TargetRole.REPLICA else it.role, isLeaving = isLeaving) else it
     }
 
     // A new leader does not know the daemons to which an earlier one gave leases, so it waits until those have expired.
--- a/core/src/main/kotlin/org/buckthornhub/coordination/CoordinatorMessage.kt
+++ b/core/src/main/kotlin/org/buckthornhub/coordination/CoordinatorMessage.kt
@@ -2,6 +2,7 @@
 
 import org.buckthornhub.directory.InstanceRecord
 import org.buckthornhub.failover.FailoverMessage
+import org.buckthornhub.fleet.ZoneId
 import org.buckthornhub.group.PrimaryDesignations
 import org.buckthornhub.target.TargetId
 
@@ -24,9 +25,11 @@
      *
      * @property isLeader whether this VM leads the control quorum
      * @property designations primaries that the control quorum has designated
+     * @property evacuated availability zones whose instances may not lead
      */
     public data class Tick(
         val isLeader: Boolean,
         val designations: PrimaryDesignations = PrimaryDesignations(),
+        val evacuated: Set<ZoneId> = emptySet(),
     ) : CoordinatorMessage
 }
--- a/core/src/main/kotlin/org/buckthornhub/coordination/CoordinatorState.kt
+++ b/core/src/main/kotlin/org/buckthornhub/coordination/CoordinatorState.kt
@@ -5,6 +5,7 @@
 import org.buckthornhub.directory.InstanceDirectory
 import org.buckthornhub.failover.FailoverState
 import org.buckthornhub.fleet.VmId
+import org.buckthornhub.fleet.ZoneId
 import org.buckthornhub.group.GroupId
 import org.buckthornhub.group.PrimaryDesignations
 import org.buckthornhub.horizon.SharedPosition
@@ -20,6 +21,7 @@
  * @property positions newest commit positions that daemons have shared, by group
  * @property proxies number of daemons that serve sessions, as counted by an earlier leader; 0 if not known
  * @property designations primaries that the control quorum has designated
+ * @property evacuated availability zones whose instances may not lead
  * @property leases leases of the daemons for the use of primaries
  * @property leadingSinceMillis local time at which this VM became the leader; null if it does not lead
  */
@@ -32,6 +34,7 @@
     val positions: PersistentMap<GroupId, SharedPosition> = persistentMapOf(),
     val proxies: Int = 0,
     val designations: PrimaryDesignations = PrimaryDesignations(),
+    val evacuated: Set<ZoneId> = emptySet(),
     val leases: PrimaryLeases = PrimaryLeases(),
     val failover: FailoverState = FailoverState(),
     val leadingSinceMillis: Long? = null,
--- a/core/src/main/kotlin/org/buckthornhub/coordination/ProxyReport.kt
+++ b/core/src/main/kotlin/org/buckthornhub/coordination/ProxyReport.kt
@@ -1,5 +1,7 @@
 package org.buckthornhub.coordination
 
+import kotlinx.serialization.EncodeDefault
+import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.Serializable
 import org.buckthornhub.directory.InstanceRecord
 import org.buckthornhub.fleet.VmId
@@ -19,7 +21,9 @@
  * @property probed primaries that the daemon asks regularly; null from a daemon of a version that asks all of them
  * @property positions recent commit positions that the daemon itself learned from primaries
  * @property designationRevision revision of the designated primaries that the daemon obeys
+ * @property evacuationRevision revision of the evacuated zones that the daemon obeys
  */
+@OptIn(ExperimentalSerializationApi::class)
 @Serializable
 public data class ProxyReport(
     val vm: VmId,
@@ -33,4 +37,5 @@
     val designationRevision: Long = 0,
     val probed: Set<TargetId>? = null,
     val positions: Map<GroupId, SharedPosition> = emptyMap(),
+    @EncodeDefault(EncodeDefault.Mode.NEVER) val evacuationRevision: Long = 0,
 )
--- a/core/src/main/kotlin/org/buckthornhub/coordination/ProxyReportAnswer.kt
+++ b/core/src/main/kotlin/org/buckthornhub/coordination/ProxyReportAnswer.kt
@@ -1,6 +1,9 @@
 package org.buckthornhub.coordination
 
+import kotlinx.serialization.EncodeDefault
+import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.Serializable
+import org.buckthornhub.control.Evacuations
 import org.buckthornhub.directory.InstanceRecord
 import org.buckthornhub.fleet.VmId
 import org.buckthornhub.group.GroupId
@@ -26,7 +29,9 @@
  * @property designations designated primaries, of which the leader alone sends the newest; null from other VMs
  * @property leaderMillis monotonic clock of the leader when it made this answer; 0 from other VMs
  * @property positions newest commit positions that daemons have shared
+ * @property evacuations evacuated zones; null if there never were any, or from a version that does not know them
  */
+@OptIn(ExperimentalSerializationApi::class)
 @Serializable
 public data class ProxyReportAnswer(
     val leader: VmId? = null,
@@ -45,4 +50,5 @@
     val designations: PrimaryDesignations? = null,
     val leaderMillis: Long = 0,
     val positions: Map<GroupId, SharedPosition> = emptyMap(),
+    @EncodeDefault(EncodeDefault.Mode.NEVER) val evacuations: Evacuations? = null,
 )
--- a/core/src/main/kotlin/org/buckthornhub/failover/FailoverDecider.kt
+++ b/core/src/main/kotlin/org/buckthornhub/failover/FailoverDecider.kt
@@ -59,7 +59,7 @@
         is FailoverPhase.Watching -> PromotionFence.resume(state, group, records, message.designations)
             ?: reasonToReplace(state, group, records, message.unreachable, nowMillis)
                 ?.let { survey(state, group, records, message, it, nowMillis) } ?: Decision(state)
-        is FailoverPhase.Surveying -> if (nowMillis >= phase.deadlineMillis) choose(state, group, phase) else Decision(state)
+        is FailoverPhase.Surveying -> surveying(state, group, phase, records, nowMillis)
         is FailoverPhase.Fencing ->
             if (message.fencedRevision >= phase.revision) PromotionFence.promote(state, group, phase) else Decision(state)
         is FailoverPhase.Designating, is FailoverPhase.Promoting -> Decision(state)
@@ -114,6 +114,21 @@
         )
     }
 
+    // A candidate that began to leave during the survey is not promoted.
+    private fun surveying(
+        state: FailoverState,
+        group: GroupId,
+        phase: FailoverPhase.Surveying,
+        records: List<InstanceRecord>,
+        nowMillis: Long,
+    ): Decision<FailoverState, FailoverEffect> {
+        val leaving = records.filter { it.isLeaving }.map { it.target }.toSet()
+        val answers = leaving.fold(phase.answers) { known, target -> known.remove(target) }
+        val kept = phase.copy(candidates = phase.candidates - leaving, answers = answers)
+        val isComplete = kept.answers.size == kept.candidates.size
+        return if (isComplete || nowMillis >= phase.deadlineMillis) choose(state, group, kept) else Decision(state.with(group, kept))
+    }
+
     private fun surveyed(state: FailoverState, message: FailoverMessage.Surveyed): Decision<FailoverState, FailoverEffect> {
         val phase = state.phaseOf(message.group) as? FailoverPhase.Surveying ?: return Decision(state)
         if (message.target !in phase.candidates) return Decision(state)
