Distribute evacuations to daemons, and enforce them

Cause: an evacuation that the control quorum has stored had no effect on what daemons send, and no way in for an order.

Answers to reports carry the evacuated zones; open reports are answered at once, and only a source that knows the newest set confirms a daemon's state. A daemon counts an order from its last confirmation without it, which was before the acknowledgement. The control leader asks the committed state once more before it designates or orders an instance. Without evacuation_ms there are no routes, no stages and no metrics.

Ruled out: counting from the arrival of the order at the daemon, which is late by as long as the daemon was out of reach.

ReportRevisionTest has one more case, and its reports name the revision of evacuations.

--- a/daemon/src/main/kotlin/org/buckthornhub/connection/ReadRunner.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/ReadRunner.kt
@@ -4,6 +4,8 @@
 import com.github.michaelbull.result.getOrElse
 import org.buckthornhub.error.ErrorKind
 import org.buckthornhub.error.ProxyError
+import org.buckthornhub.evacuation.EvacuatedRecords
+import org.buckthornhub.group.GroupId
 import org.buckthornhub.group.Position
 import org.buckthornhub.instancepool.ConnectionRequest
 import org.buckthornhub.instancepool.ConnectionRequirement
@@ -15,6 +17,7 @@
 /** Runs single reads on any instance whose data is recent enough. */
 internal class ReadRunner(private val environment: SessionEnvironment) {
     private val connections = AdmittedConnections(environment)
+    private val records = EvacuatedRecords(environment.evacuations)
 
     suspend fun read(
         work: DataStatement,
@@ -61,11 +64,18 @@
             admission.organisation,
             ConnectionRequirement.AtLeast(floor),
             admission.route.priority,
-            excluded,
+            excluded + evacuated(admission.route.group),
         )
         return connections.acquire(request, admission)
     }
 
+    // A primary in an evacuated zone is still used for a time, but not for what other instances can serve.
+    private fun evacuated(group: GroupId): Set<TargetId> {
+        val view = environment.view.value
+        if (view.evacuatedSince.isEmpty()) return emptySet()
+        return records.unreadable(view.directory.records.values.filter { it.group == group })
+    }
+
     fun unknownFloorError(admission: Admission) =
         ProxyError(ErrorKind.NO_PRIMARY, "the primary of group ${admission.route.group} has not reported its commit position recently")
 
--- a/daemon/src/main/kotlin/org/buckthornhub/connection/SessionEnvironment.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/SessionEnvironment.kt
@@ -5,6 +5,7 @@
 import org.buckthornhub.clock.Clock
 import org.buckthornhub.coordination.ProxyView
 import org.buckthornhub.decisionlog.DecisionLog
+import org.buckthornhub.evacuation.ZoneEvacuations
 import org.buckthornhub.horizon.CommitTimelineTask
 import org.buckthornhub.instancepool.PoolTask
 import org.buckthornhub.quota.RateLimiterTask
@@ -14,6 +15,7 @@
  *
  * @property leaving completes when sessions without an open transaction have to end
  * @property isCutOff returns true while this daemon reaches neither the control quorum nor most primaries
+ * @property evacuations evacuated zones, whose instances are used no more
  */
 internal class SessionEnvironment(
     val settings: SessionSettings,
@@ -26,4 +28,5 @@
     val isCutOff: () -> Boolean,
     val decisions: DecisionLog,
     val clock: Clock,
+    val evacuations: ZoneEvacuations = ZoneEvacuations.NONE,
 )
--- a/daemon/src/main/kotlin/org/buckthornhub/connection/SessionEvent.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/SessionEvent.kt
@@ -10,6 +10,9 @@
     /** The daemon is shutting down and the session has no open transaction. */
     data object Leaving : SessionEvent
 
+    /** The target of the open transaction is in a zone that is evacuated, and the transaction has to end. */
+    data object Evacuated : SessionEvent
+
     /** The caller has disconnected. */
     data object Disconnected : SessionEvent
 }
--- a/daemon/src/main/kotlin/org/buckthornhub/connection/SessionTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/SessionTask.kt
@@ -75,6 +75,7 @@
             when (val next = next()) {
                 is SessionEvent.Idle -> expire()
                 is SessionEvent.Leaving -> return
+                is SessionEvent.Evacuated -> transaction?.endForEvacuation()
                 is SessionEvent.Request -> if (!handle(next.request)) return
                 is SessionEvent.Disconnected -> return
             }
@@ -87,6 +88,7 @@
             result.getOrNull()?.let { SessionEvent.Request(it) } ?: SessionEvent.Disconnected
         }
         if (session.transaction is TransactionState.Open) onTimeout(idleMillis()) { SessionEvent.Idle }
+        transaction?.evacuation?.onJoin { SessionEvent.Evacuated }
         if (session.transaction is TransactionState.None) environment.leaving.onJoin { SessionEvent.Leaving }
     }
 
--- a/daemon/src/main/kotlin/org/buckthornhub/connection/TransactionRunner.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/TransactionRunner.kt
@@ -8,10 +8,12 @@
 import com.github.michaelbull.result.mapError
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
 import kotlinx.coroutines.launch
 import org.buckthornhub.coordination.ClockReading
 import org.buckthornhub.error.ErrorKind
 import org.buckthornhub.error.ProxyError
+import org.buckthornhub.evacuation.EvacuationStage
 import org.buckthornhub.horizon.AnsweredStatement
 import org.buckthornhub.horizon.TransactionMode
 import org.buckthornhub.instancepool.TargetLease
@@ -32,6 +34,11 @@
     private val timeoutMillis get() = admission.route.statementTimeoutMillis
     private var lease: TargetLease? = null
     private var isOnPrimary = false
+    private var evacuatedError: AttemptFailure? = null
+
+    /** Completes when the transaction has to end because the zone of its target is evacuated; null while it has no target. */
+    var evacuation: Job? = null
+        private set
 
     /** True once a connection was acquired, so that statements may have been sent. */
     var hasAcquiredTarget = false
@@ -67,10 +74,17 @@
         }
     }
 
+    /** Rolls back because the zone of the target is evacuated; the next statement or commit is told so. */
+    fun endForEvacuation() {
+        val held = lease ?: return
+        rollBack()
+        evacuatedError = abortedBy(held, "is in zone ${held.instance.zone}, which is evacuated")
+    }
+
     /** Rolls back asynchronously. */
     fun rollBack() {
         val open = lease ?: return
-        lease = null
+        forgetLease()
         scope.launch {
             open.run(TargetStatement.RollBack, timeoutMillis)
             open.release()
@@ -99,13 +113,19 @@
         return abortedBy(lease, "may have been replaced during the transaction")
     }
 
-    private fun release(ended: TargetLease) {
+    private fun forgetLease() {
         lease = null
+        evacuation?.cancel()
+        evacuation = null
+    }
+
+    private fun release(ended: TargetLease) {
+        forgetLease()
         ended.release()
     }
 
     private fun aborted(lease: TargetLease, failure: TargetLinkFailure): AttemptFailure {
-        this.lease = null
+        forgetLease()
         lease.release()
         return abortedBy(lease, "was lost in a transaction: ${failure.detail}")
     }
@@ -125,6 +145,9 @@
         StatementFailure.of(persistentListOf(attempt.took(environment.clock.nowMillis() - sentAt.monotonicMillis)))
 
     private suspend fun leaseFor(session: SessionState, open: TransactionState.Open): Result<TargetLease, StatementFailure> {
+        val hasToEnd = lease?.let { environment.evacuations.stageOf(it.instance.zone) >= EvacuationStage.ENDING } ?: false
+        if (hasToEnd) endForEvacuation()
+        evacuatedError?.let { return Err(StatementFailure.of(persistentListOf(it))) }
         lease?.let { return Ok(it) }
         var excluded: Set<TargetId> = emptySet()
         var attempts = persistentListOf<AttemptFailure>()
@@ -133,6 +156,7 @@
             val failed = begin(session, open, admission.at(environment.clock.nowMillis()), excluded).mapBoth(
                 success = { begun ->
                     lease = begun
+                    evacuation = environment.evacuations.watch(scope, begun.instance.zone, EvacuationStage.ENDING)
                     return Ok(begun)
                 },
                 failure = { it },
--- a/daemon/src/main/kotlin/org/buckthornhub/coordination/CoordinatorTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/coordination/CoordinatorTask.kt
@@ -12,6 +12,7 @@
 import org.buckthornhub.control.CommandOutcome
 import org.buckthornhub.control.ControlCommand
 import org.buckthornhub.control.ControlLog
+import org.buckthornhub.control.Evacuations
 import org.buckthornhub.directory.InstanceRecord
 import org.buckthornhub.directory.InstanceRecordCheck
 import org.buckthornhub.directory.RefusedAnnouncementLog
@@ -25,6 +26,7 @@
 import org.buckthornhub.failover.PrimaryStopper
 import org.buckthornhub.failover.PromotionOutcome
 import org.buckthornhub.fleet.VmId
+import org.buckthornhub.target.TargetId
 import org.buckthornhub.task.DeciderTask
 
 /** Owns the state of the instances and daemons on the control leader, and starts failovers. */
@@ -52,8 +54,14 @@
     override suspend fun onStart(scope: CoroutineScope) {
         this.scope = scope
         scope.launch {
+            var known = Evacuations()
             while (true) {
-                offer(CoordinatorMessage.Tick(control.leadership.current().isLeader, control.state.current().designations))
+                val state = control.state.current()
+                offer(CoordinatorMessage.Tick(control.leadership.current().isLeader, state.designations, state.evacuations.zones))
+                if (state.evacuations != known) {
+                    known = state.evacuations
+                    logger.info { "evacuated zones are ${known.zones}, change ${known.revision}" }
+                }
                 delay(TICK_MILLIS)
             }
         }
@@ -91,10 +99,11 @@
     private suspend fun survey(effect: FailoverEffect.Survey) {
         val record = current().directory.records[effect.target]
         val status = record?.let { survey.statusOf(it, SURVEY_TIMEOUT_MILLIS) }
-        offer(CoordinatorMessage.Failover(FailoverMessage.Surveyed(effect.group, effect.target, status)))
+        offer(FailoverMessage.Surveyed(effect.group, effect.target, status))
     }
 
     private suspend fun designate(effect: FailoverEffect.Designate) {
+        if (isEvacuated(effect.target)) return offer(FailoverMessage.Designated(effect.group, effect.target, designations = null))
         val command = ControlCommand.DesignatePrimary(effect.group, effect.target, effect.expected)
         val isCommitted = control.propose(command).mapBoth(
             success = { it is CommandOutcome.Accepted },
@@ -104,7 +113,7 @@
             },
         )
         val designations = control.state.current().designations.takeIf { isCommitted }
-        offer(CoordinatorMessage.Failover(FailoverMessage.Designated(effect.group, effect.target, designations)))
+        offer(FailoverMessage.Designated(effect.group, effect.target, designations))
     }
 
     private suspend fun stopPrimary(effect: FailoverEffect.StopPrimary) {
@@ -112,16 +121,28 @@
         val isStopped = stopper.stop(record, effect.term, SURVEY_TIMEOUT_MILLIS)
         val result = if (isStopped) "has given up its role" else "did not confirm that it gave up its role"
         logger.info { "group ${effect.group}: ${effect.target} $result" }
-        if (isStopped) offer(CoordinatorMessage.Failover(FailoverMessage.PrimaryStopped(effect.group, effect.target)))
+        if (isStopped) offer(FailoverMessage.PrimaryStopped(effect.group, effect.target))
     }
 
     private suspend fun promote(effect: FailoverEffect.Promote) {
         delay(effect.delayMillis)
+        if (isEvacuated(effect.target)) {
+            logger.info { "group ${effect.group}: ${effect.target} is not promoted, as its zone is evacuated" }
+            return offer(FailoverMessage.PromotionAttempted(effect.group, effect.target, PromotionOutcome.REFUSED))
+        }
         // A leader that was replaced without noticing must not promote anything.
         val fence = control.confirmLeadership().get()?.let { FencingToken.of(it, effect.order) }
         val outcome = if (fence == null) PromotionOutcome.UNKNOWN else orders.promote(effect.group, effect.target, vm, fence)
         logger.info { "group ${effect.group}: promotion of ${effect.target} with fencing token $fence: $outcome" }
-        offer(CoordinatorMessage.Failover(FailoverMessage.PromotionAttempted(effect.group, effect.target, outcome)))
+        offer(FailoverMessage.PromotionAttempted(effect.group, effect.target, outcome))
+    }
+
+    // The order may have arrived after the last tick.
+    private fun isEvacuated(target: TargetId): Boolean =
+        current().directory.records[target]?.let { it.zone in control.state.current().evacuations.zones } ?: false
+
+    private fun offer(message: FailoverMessage) {
+        offer(CoordinatorMessage.Failover(message))
     }
 
     private companion object {
--- a/daemon/src/main/kotlin/org/buckthornhub/coordination/ProxyView.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/coordination/ProxyView.kt
@@ -1,8 +1,10 @@
 package org.buckthornhub.coordination
 
 import org.buckthornhub.clock.Clock
+import org.buckthornhub.control.Evacuations
 import org.buckthornhub.directory.InstanceDirectory
 import org.buckthornhub.fleet.VmId
+import org.buckthornhub.fleet.ZoneId
 import org.buckthornhub.group.GroupId
 import org.buckthornhub.group.PrimaryDesignations
 import org.buckthornhub.horizon.CommitSample
@@ -28,6 +30,8 @@
  * @property leasedAt time from which the lease for the use of primaries counts; null if there was none yet
  * @property leaderClock newest reading of the control leader's clock
  * @property positions commit positions that other daemons have shared, on this daemon's clock
+ * @property evacuations availability zones whose instances may receive no requests
+ * @property evacuatedSince for each of these zones, a time before the acknowledgement of the order
  */
 internal data class ProxyView(
     val table: RouteTable? = null,
@@ -44,6 +48,8 @@
     val leasedAt: ClockReading? = null,
     val leaderClock: LeaderClock? = null,
     val positions: Map<GroupId, CommitSample> = emptyMap(),
+    val evacuations: Evacuations = Evacuations(),
+    val evacuatedSince: Map<ZoneId, ClockReading> = emptyMap(),
 ) {
     /** Returns whether the control leader has given this daemon a lease for the use of primaries that has not expired. */
     fun hasPrimaryLease(clock: Clock): Boolean =
@@ -74,8 +80,11 @@
     fun fallbackOf(access: OrganisationAccess, tolerance: LimitTolerance): Int =
         if (isFleetKnown) LimitDivision.fallbackTokens(access.organisation, access.limit, tolerance, rank, proxies) else 0
 
-    private companion object {
+    internal companion object {
+        /** Earlier than any time on either clock of a daemon. */
+        val LONG_AGO = ClockReading(Long.MIN_VALUE / 2, Long.MIN_VALUE / 2)
+
         /** Smallest fleet size assumed by a daemon that has no share of the limits yet. */
-        const val MIN_ASSUMED_PROXIES = 8
+        private const val MIN_ASSUMED_PROXIES = 8
     }
 }
--- a/daemon/src/main/kotlin/org/buckthornhub/coordination/ProxyViewUpdater.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/coordination/ProxyViewUpdater.kt
@@ -1,22 +1,20 @@
 package org.buckthornhub.coordination
 
+import org.buckthornhub.control.Evacuations
 import org.buckthornhub.fleet.VmId
 import org.buckthornhub.group.GroupId
 import org.buckthornhub.group.PrimaryDesignations
 import org.buckthornhub.horizon.CommitSample
 import org.buckthornhub.horizon.LeaderClock
+import org.buckthornhub.routetable.RouteTable
 
 /** Merges replies of control VMs into the view of a daemon. */
 internal object ProxyViewUpdater {
     fun update(view: ProxyView, from: VmId, sentAt: ClockReading, receivedAt: ClockReading, reply: ProxyReportAnswer): ProxyView {
         val known = view.table
         val table = reply.table?.takeIf { known == null || it.version > known.version } ?: known
-        // Counts from the time of the request, so that network delay only makes the state older.
-        // A source with an older table confirms nothing.
-        val heldMillis = heldMillis(sentAt, receivedAt, reply)
-        val confirmedAt = ageMillis(reply)
-            ?.let { age -> ClockReading(sentAt.monotonicMillis + heldMillis - age, sentAt.wallMillis + heldMillis - age) }
-            ?.takeIf { reply.tableVersion >= (table?.version ?: 0) }
+        val evacuations = newest(view.evacuations, reply.evacuations)
+        val confirmedAt = confirmedAt(sentAt, receivedAt, reply).takeIf { isNewest(reply, table, evacuations) }
         val instances = reply.instances
         val leaderClock = leaderClock(sentAt, receivedAt, reply)
         return view.copy(
@@ -34,9 +32,25 @@
             leasedAt = leasedAt(view, sentAt, receivedAt, reply),
             leaderClock = leaderClock ?: view.leaderClock,
             positions = if (leaderClock == null) view.positions else samples(leaderClock, reply),
+            evacuations = evacuations,
+            evacuatedSince = evacuations.zones.associateWith { view.evacuatedSince[it] ?: earliestOrder(view, receivedAt) },
         )
     }
 
+    // A source with an older table or older evacuations confirms nothing.
+    private fun isNewest(reply: ProxyReportAnswer, table: RouteTable?, evacuations: Evacuations): Boolean =
+        reply.tableVersion >= (table?.version ?: 0) && (reply.evacuations?.revision ?: 0) >= evacuations.revision
+
+    // Counts from the time of the request, so that network delay only makes the state older.
+    private fun confirmedAt(sentAt: ClockReading, receivedAt: ClockReading, reply: ProxyReportAnswer): ClockReading? {
+        val heldMillis = heldMillis(sentAt, receivedAt, reply)
+        return ageMillis(reply)?.let { ClockReading(sentAt.monotonicMillis + heldMillis - it, sentAt.wallMillis + heldMillis - it) }
+    }
+
+    // The order was acknowledged after the last confirmation of a state without it; without one it may be of any age.
+    private fun earliestOrder(view: ProxyView, receivedAt: ClockReading): ClockReading =
+        view.confirmedAt?.takeIf { it.isPast(receivedAt) } ?: ProxyView.LONG_AGO
+
     private fun samples(clock: LeaderClock, reply: ProxyReportAnswer): Map<GroupId, CommitSample> =
         reply.positions.filterValues { it.askedMillis <= reply.leaderMillis }
             .mapValues { (_, shared) -> CommitSample(clock.toLocal(shared.askedMillis), shared.position) }
@@ -60,6 +74,9 @@
         return LeaderClock(reply.controlTerm, reply.leaderMillis, earliestMillis, receivedAt.monotonicMillis)
     }
 
+    private fun newest(known: Evacuations, received: Evacuations?): Evacuations =
+        if (received != null && received.revision > known.revision) received else known
+
     private fun newest(known: PrimaryDesignations, received: PrimaryDesignations?): PrimaryDesignations =
         if (received != null && received.revision > known.revision) received else known
 
--- a/daemon/src/main/kotlin/org/buckthornhub/coordination/ReportRevision.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/coordination/ReportRevision.kt
@@ -7,11 +7,13 @@
     val tableVersion: Long,
     val directoryRevision: Long,
     val designationRevision: Long,
+    val evacuationRevision: Long = 0,
 ) {
     /** Returns whether the sender of [report] lacks something of this revision. */
     fun isNewTo(report: ProxyReport): Boolean = !isLeader ||
         tableVersion > report.tableVersion ||
         controlTerm != report.controlTerm ||
         directoryRevision != report.directoryRevision ||
-        designationRevision > report.designationRevision
+        designationRevision > report.designationRevision ||
+        evacuationRevision > report.evacuationRevision
 }
--- a/daemon/src/main/kotlin/org/buckthornhub/coordination/ReportRoutes.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/coordination/ReportRoutes.kt
@@ -65,6 +65,7 @@
             tableVersion = state.routeTable?.table?.version ?: 0,
             directoryRevision = coordinator.current().directoryRevision,
             designationRevision = state.designations.revision,
+            evacuationRevision = state.evacuations.revision,
         )
     }
 
@@ -100,6 +101,7 @@
             designations = view.state.designations.takeIf { leadership.isLeader },
             leaderMillis = if (leadership.isLeader) nowMillis else 0,
             positions = if (leadership.isLeader) state.positions else emptyMap(),
+            evacuations = view.state.evacuations.takeIf { it.revision > 0 },
         )
     }
 
--- a/daemon/src/main/kotlin/org/buckthornhub/coordination/ReportTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/coordination/ReportTask.kt
@@ -89,6 +89,9 @@
         published.value = after
         lastReplyTerm = message.reply.controlTerm
         if (after.table !== before.table) logger.info { "applied route table ${after.table?.version} from control VM ${message.from}" }
+        if (after.evacuations != before.evacuations) {
+            logger.info { "evacuated zones are ${after.evacuations.zones}, change ${after.evacuations.revision}, from ${message.from}" }
+        }
         val ageMillis = message.reply.ageMillis
         val isUnconfirmed = ageMillis == null || ageMillis !in 0..MAX_CONFIRMATION_AGE_MILLIS
         if (isUnconfirmed && failures == 0) {
@@ -167,6 +170,7 @@
         designationRevision = view.designations.revision,
         probed = probes.current().values.filter { it.isProbed }.mapNotNull { it.primary }.toSet(),
         positions = positionsFor(view),
+        evacuationRevision = view.evacuations.revision,
     )
 
     // Only positions that this daemon learned itself, and only with times on the clock of the leader that receives them.
--- a/daemon/src/main/kotlin/org/buckthornhub/daemon/ControlVmAssembly.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/daemon/ControlVmAssembly.kt
@@ -7,6 +7,8 @@
 import org.buckthornhub.control.ControlMessage
 import org.buckthornhub.control.ControlRoutes
 import org.buckthornhub.control.ControlTask
+import org.buckthornhub.control.EvacuationRoutes
+import org.buckthornhub.control.EvacuationService
 import org.buckthornhub.control.FolderStorage
 import org.buckthornhub.control.MemberLinks
 import org.buckthornhub.control.RouteTableService
@@ -17,6 +19,7 @@
 import org.buckthornhub.coordination.ReserveTask
 import org.buckthornhub.decisionlog.BoundedQueueAppender
 import org.buckthornhub.decisionlog.SessionMetrics
+import org.buckthornhub.evacuation.EvacuationMetrics
 import org.buckthornhub.failover.FailoverSettings
 import org.buckthornhub.failover.InstancePromoter
 import org.buckthornhub.failover.InstanceSurvey
@@ -58,10 +61,15 @@
 
     /** Accepts announcements of instances on any control VM and forwards them to the leader. */
     public val announcements: InstanceAnnouncementService = InstanceAnnouncementService(settings.vm, control, coordinator, leaderClient)
+
+    /** Accepts orders to evacuate zones on any control VM and forwards them to the leader. */
+    public val evacuations: EvacuationService = EvacuationService(control, leaderClient)
+    private val hasEvacuations = settings.evacuationMillis != null
     private val registry = PrometheusRegistry()
 
-    /** HTTP routes for operators: the metrics of this VM. */
-    public val operatorRoutes: List<Route> = MetricsRoutes(registry).routes()
+    /** HTTP routes for operators: the metrics of this VM and, where the deployment has them, evacuations. */
+    public val operatorRoutes: List<Route> =
+        MetricsRoutes(registry).routes() + if (hasEvacuations) EvacuationRoutes(evacuations).routes() else emptyList()
     private val reports = ReportRoutes(control, coordinator, control.memberVms, clock)
     private val server: HttpServer =
         HttpServer(
@@ -71,7 +79,8 @@
                 reports.routes() +
                 ReserveRoutes(reserve).routes() +
                 routeTables.routes() +
-                announcements.routes(),
+                announcements.routes() +
+                if (hasEvacuations) evacuations.routes() else emptyList(),
             MAX_BODY_BYTES,
         )
 
@@ -92,6 +101,7 @@
         SessionMetrics.gauge(registry, "buckthornhub_proxies", "Daemons that serve sessions and report to this VM.") {
             coordinator.current().demand.reports.size.toDouble()
         }
+        if (hasEvacuations) EvacuationMetrics.register(registry) { control.state.current().evacuations }
     }
 
     public fun start(scope: CoroutineScope) {
--- a/daemon/src/main/kotlin/org/buckthornhub/daemon/ControlVmSettings.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/daemon/ControlVmSettings.kt
@@ -12,6 +12,8 @@
  * @property toleratedLosses number of control VMs that may be lost with their disks at the same time
  * @property port TCP port of the interface between daemons, the same on all control VMs
  * @property isFencedByPlatform whether an old primary loses its role at the moment of a promotion; see docs/design/platform.md
+ * @property evacuationMillis time from the acknowledgement of an evacuation until no request may reach the zone; null if the
+ * deployment has no such orders
  */
 public data class ControlVmSettings(
     val vm: VmId,
@@ -22,4 +24,5 @@
     val port: Int,
     val dataFolder: String,
     val isFencedByPlatform: Boolean = true,
+    val evacuationMillis: Long? = null,
 )
--- a/daemon/src/main/kotlin/org/buckthornhub/daemon/SessionProxyAssembly.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/daemon/SessionProxyAssembly.kt
@@ -1,10 +1,13 @@
 package org.buckthornhub.daemon
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.collectLatest
 import kotlinx.coroutines.flow.distinctUntilChanged
 import kotlinx.coroutines.flow.distinctUntilChangedBy
 import kotlinx.coroutines.flow.map
@@ -24,7 +27,15 @@
 import org.buckthornhub.decisionlog.CompositeDecisionLog
 import org.buckthornhub.decisionlog.DecisionLog
 import org.buckthornhub.decisionlog.SessionMetrics
+import org.buckthornhub.evacuation.EvacuatedRecords
+import org.buckthornhub.evacuation.EvacuationMetrics
+import org.buckthornhub.evacuation.EvacuationSchedule
+import org.buckthornhub.evacuation.EvacuationStage
+import org.buckthornhub.evacuation.GuardedLinkFactory
+import org.buckthornhub.evacuation.ScheduledEvacuations
+import org.buckthornhub.evacuation.ZoneEvacuations
 import org.buckthornhub.fleet.VmId
+import org.buckthornhub.fleet.ZoneId
 import org.buckthornhub.group.GroupId
 import org.buckthornhub.horizon.CommitTimelineMessage
 import org.buckthornhub.horizon.CommitTimelineTask
@@ -49,8 +60,15 @@
     decisions: DecisionLog = DecisionLog.NONE,
 ) {
     private val registry = PrometheusRegistry()
-    private val pool = PoolTask(PoolSettings(settings.zone, settings.primaryDrainMillis), targets, clock)
     private val view = MutableStateFlow(ProxyView())
+    private val evacuations =
+        settings.evacuationMillis?.let { ScheduledEvacuations(view, EvacuationSchedule(it), clock) } ?: ZoneEvacuations.NONE
+    private val records = EvacuatedRecords(evacuations)
+    private val pool = PoolTask(
+        PoolSettings(settings.zone, settings.primaryDrainMillis),
+        if (settings.evacuationMillis == null) targets else GuardedLinkFactory(targets, evacuations),
+        clock,
+    )
     private val authority =
         if (settings.isFencedByPlatform) PrimaryAuthority.FENCED_BY_PLATFORM else LeasedPrimaryAuthority(view, clock)
     private val commitTimelines = CommitTimelineTask(pool, authority, clock)
@@ -80,6 +98,7 @@
             ::isCutOff,
             withMetrics(decisions),
             clock,
+            evacuations,
         )
     private lateinit var scope: CoroutineScope
 
@@ -101,9 +120,12 @@
         }
         scope.launch {
             report.view
-                .distinctUntilChangedBy { listOf(it.directory, it.table?.version, it.proxies, it.rank, it.isFleetKnown, it.designations) }
+                .distinctUntilChangedBy {
+                    listOf(it.directory, it.table?.version, it.proxies, it.rank, it.isFleetKnown, it.designations, it.evacuatedSince)
+                }
                 .collect { applyView(it) }
         }
+        scope.launch { report.view.map { it.evacuations.zones }.distinctUntilChanged().collectLatest { applyWhenDrained(it) } }
     }
 
     /** Replaces the introducers, which are contacted in addition to the control VMs already known. */
@@ -144,14 +166,27 @@
         SessionMetrics.gauge(registry, "buckthornhub_waiting_statements", "Statements that wait for a connection.") {
             pool.current().waiting.size.toDouble()
         }
+        if (settings.evacuationMillis != null) EvacuationMetrics.register(registry) { view.value.evacuations }
         BoundedQueueAppender.registerMetrics(registry)
         return CompositeDecisionLog(listOf(SessionMetrics(registry), decisions))
     }
 
+    private suspend fun applyWhenDrained(zones: Set<ZoneId>) = coroutineScope {
+        zones.forEach { zone ->
+            val drained = evacuations.watch(this, zone, EvacuationStage.DRAINED) ?: return@forEach
+            launch {
+                drained.join()
+                logger.info { "zone $zone is drained: no work is begun there while its evacuation lasts" }
+                applyView(view.value)
+            }
+        }
+    }
+
     private fun applyView(view: ProxyView) {
         // A replaced primary serves nothing until it has become a replica: its log may have commits that its successor lacks.
-        val records = view.directory.records.values
+        val usable = view.directory.records.values
             .filter { it.role == TargetRole.REPLICA || view.designations.allows(it.group, it.target) }
+        val records = records.of(usable)
         pool.offer(PoolCommand.Decide(PoolMessage.Directory(records)))
         val primaries = records.filter { it.role == TargetRole.PRIMARY }
             .sortedBy { it.startedWallMillis }
@@ -171,6 +206,7 @@
         view.table?.groups.orEmpty().filterValues { ConnectionShare.isShortLived(it.maxConnections, view.proxies) }.keys
 
     private companion object {
+        val logger = KotlinLogging.logger {}
         const val MILLIS_PER_SECOND = 1_000.0
 
         /** Time until the balancer stops routing here, in ms: two failed health checks at an interval of one second. */
--- a/daemon/src/test/kotlin/org/buckthornhub/coordination/ReportRevisionTest.kt
+++ b/daemon/src/test/kotlin/org/buckthornhub/coordination/ReportRevisionTest.kt
@@ -10,13 +10,27 @@
     @MethodSource("cases")
     fun `a report is held open while the leader has nothing new for it`(case: RevisionCase) {
         val revision =
-            ReportRevision(case.isLeader, controlTerm = 3, tableVersion = 5, directoryRevision = 5, designationRevision = 5)
+            ReportRevision(
+                case.isLeader,
+                controlTerm = 3,
+                tableVersion = 5,
+                directoryRevision = 5,
+                designationRevision = 5,
+                evacuationRevision = 5,
+            )
         assertEquals(case.isAnswered, revision.isNewTo(case.report))
     }
 
     private companion object {
         private val current =
-            ProxyReport(VmId("vm"), tableVersion = 5, controlTerm = 3, directoryRevision = 5, designationRevision = 5)
+            ProxyReport(
+                VmId("vm"),
+                tableVersion = 5,
+                controlTerm = 3,
+                directoryRevision = 5,
+                designationRevision = 5,
+                evacuationRevision = 5,
+            )
 
         @JvmStatic
         fun cases(): List<RevisionCase> = listOf(
@@ -26,6 +40,7 @@
             RevisionCase("an older directory", current.copy(directoryRevision = 4), isAnswered = true),
             RevisionCase("a directory of another leader", current.copy(controlTerm = 2), isAnswered = true),
             RevisionCase("older designations", current.copy(designationRevision = 4), isAnswered = true),
+            RevisionCase("older evacuations", current.copy(evacuationRevision = 4), isAnswered = true),
             RevisionCase("a VM that does not lead", current, isAnswered = true, isLeader = false),
         )
     }
