--- a/daemon/src/main/kotlin/org/buckthornhub/daemon/ControlVmAssembly.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/daemon/ControlVmAssembly.kt
@@ -7,6 +7,8 @@
 import org.buckthornhub.control.ControlMessage
 import org.buckthornhub.control.ControlRoutes
 import org.buckthornhub.control.ControlTask
+import org.buckthornhub.control.EvacuationRoutes
+import org.buckthornhub.control.EvacuationService
 import org.buckthornhub.control.FolderStorage
 import org.buckthornhub.control.MemberLinks
 import org.buckthornhub.control.RouteTableService
@@ -18,6 +20,7 @@
 import org.buckthornhub.coordination.ReserveTask
 import org.buckthornhub.decisionlog.BoundedQueueAppender
 import org.buckthornhub.decisionlog.SessionMetrics
+import org.buckthornhub.evacuation.EvacuationMetrics
 import org.buckthornhub.failover.FailoverSettings
 import org.buckthornhub.failover.InstancePromoter
 import org.buckthornhub.failover.InstanceSurvey
@@ -60,6 +63,10 @@
 
     /** Accepts announcements of instances on any control VM and forwards them to the leader. */
     public val announcements: InstanceAnnouncementService = InstanceAnnouncementService(settings.vm, control, coordinator, leaderClient)
+
+    /** Accepts orders to evacuate zones on any control VM and forwards them to the leader. */
+    public val evacuations: EvacuationService = EvacuationService(control, leaderClient)
+    private val hasEvacuations = settings.evacuationMillis != null
     private val registry = PrometheusRegistry()
     private val reserve = ReserveTask(
         control,
@@ -69,8 +76,9 @@
         if (settings.adaptsToLoad) LimitReport(registry, clock) else LimitObserver.NONE,
     )
 
-    /** HTTP routes for operators: the metrics of this VM. */
-    public val operatorRoutes: List<Route> = MetricsRoutes(registry).routes()
+    /** HTTP routes for operators: the metrics of this VM and, where the deployment has them, evacuations. */
+    public val operatorRoutes: List<Route> =
+        MetricsRoutes(registry).routes() + if (hasEvacuations) EvacuationRoutes(evacuations).routes() else emptyList()
     private val reports = ReportRoutes(control, coordinator, control.memberVms, clock)
     private val server: HttpServer =
         HttpServer(
@@ -80,7 +88,8 @@
                 reports.routes() +
                 ReserveRoutes(reserve).routes() +
                 routeTables.routes() +
-                announcements.routes(),
+                announcements.routes() +
+                if (hasEvacuations) evacuations.routes() else emptyList(),
             MAX_BODY_BYTES,
         )
 
@@ -101,6 +110,7 @@
         SessionMetrics.gauge(registry, "buckthornhub_proxies", "Daemons that serve sessions and report to this VM.") {
             coordinator.current().demand.reports.size.toDouble()
         }
+        if (hasEvacuations) EvacuationMetrics.register(registry) { control.state.current().evacuations }
     }
 
     public fun start(scope: CoroutineScope) {
--- a/daemon/src/main/kotlin/org/buckthornhub/daemon/ControlVmSettings.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/daemon/ControlVmSettings.kt
@@ -13,6 +13,8 @@
  * @property port TCP port of the interface between daemons, the same on all control VMs
  * @property isFencedByPlatform whether an old primary loses its role at the moment of a promotion; see docs/design/platform.md
  * @property adaptsToLoad whether limits follow the measured load: usable announced times, and reserves that start as full as is safe
+ * @property evacuationMillis time from the acknowledgement of an evacuation until no request may reach the zone; null if the
+ * deployment has no such orders
  */
 public data class ControlVmSettings(
     val vm: VmId,
@@ -24,4 +26,5 @@
     val dataFolder: String,
     val isFencedByPlatform: Boolean = true,
     val adaptsToLoad: Boolean = false,
+    val evacuationMillis: Long? = null,
 )
