Give organisations below their limit more without a leader

Cause: with 40 % of the burst as fallback, 15 of some 42 operations at the usual load were refused around a change of leader, against 7 before, and the cases of LimitSplitTest, which did not try the behaviour under load, refused up to 1.28 % where 1 % is allowed.

Ruled out: the whole part of the burst that a reserve that isn't low holds, with 0.5 s of the rate in a flood as well: 4 of 600 random schedules exceeded the quota.

Change: no more than the tolerated overrun in a flood; 65 % of the burst and 0.5 s of the rate besides for an organisation that was not low. LimitSplitTest runs each case a second time with the behaviour under load; its former bounds are unchanged, and hold for the new runs except for 94 daemons that have no leader for a second (1.2 % instead of 1 %), which the quota in a flood costs.

--- a/balancing/src/test/kotlin/org/buckthornhub/quota/FloodReplayTest.kt
+++ b/balancing/src/test/kotlin/org/buckthornhub/quota/FloodReplayTest.kt
@@ -15,11 +15,11 @@
             "the same, a tenth reaches no instance",
             load = FloodCase.flood(7.5),
             refundShare = 0.1,
-            wrongful = 350.0,
+            wrongful = 250.0,
             baseline = 1_200.0,
         ),
         FloodCase("3 times the usual load", load = FloodCase.flood(3.0), wrongful = 30.0, baseline = 100.0),
-        FloodCase("the usual load, around a change of leader", watched = 2_500L..8_000L, wrongful = 15.0),
+        FloodCase("the usual load, around a change of leader", watched = 2_500L..8_000L, wrongful = 10.0),
         FloodCase("the first second of the fleet", startedMillis = -20, watched = FIRST_SECOND, load = {
             0.9
         }, wrongful = 0.5, baseline = 5.0),
--- a/balancing/src/test/kotlin/org/buckthornhub/quota/LimitSplitCase.kt
+++ b/balancing/src/test/kotlin/org/buckthornhub/quota/LimitSplitCase.kt
@@ -7,6 +7,7 @@
  * @property skew weight of each daemon's callers, by daemon and second
  * @property partitioned whether a daemon is partitioned from the leader, by daemon and second
  * @property maxRefusedPercent allowed refusals in % of the operations, beyond those due to the limit itself; null for overload
+ * @property maxRefusedAdaptingPercent the same where the fleet adapts to the load, which keeps the quota in a flood too
  * @property isSplit whether each daemon has a share of its own; the baseline in a large fleet
  * @property minRefusedPercent least refusals, for baselines that show the fault
  */
@@ -19,6 +20,7 @@
     val maxRefusedPercent: Double? = null,
     val daemons: Int = 8,
     val isSplit: Boolean = daemons <= LimitDivision.SPLIT_UP_TO,
+    val maxRefusedAdaptingPercent: Double? = maxRefusedPercent,
     val minRefusedPercent: Double? = null,
 ) {
     override fun toString(): String = name
--- a/balancing/src/test/kotlin/org/buckthornhub/quota/LimitSplitSimulation.kt
+++ b/balancing/src/test/kotlin/org/buckthornhub/quota/LimitSplitSimulation.kt
@@ -9,6 +9,7 @@
 internal class LimitSplitSimulation(
     private val case: LimitSplitCase,
     seed: Int,
+    private val adapts: Boolean = false,
 ) {
     private val random = Random(seed)
     private val reserveFraction = if (case.isSplit) LimitDivision.reserveFraction(1) else LimitDivision.reserveFraction(case.daemons)
@@ -16,12 +17,12 @@
     private val organisation = OrganisationId("o")
     private val limit = BucketRate(case.ratePerSecond, burst = case.ratePerSecond)
     private val vms = (0 until case.daemons).map { VmId("vm$it") }
-    private val decider = RateLimiterDecider()
+    private val decider = RateLimiterDecider(if (adapts) AdaptiveReserveUse else FixedReserveUse)
     private val limiters = Array(case.daemons) { RateLimiterState() }
     private val shares = DoubleArray(case.daemons) { 1.0 / case.daemons }
     private val pendingRequests = mutableListOf<Triple<Int, RateLimiterEffect.RequestReserve, Long>>()
     private var table = DemandTable()
-    private var reserve = TokenReserve(startedMillis = -10_000)
+    private var reserve = TokenReserve(startedMillis = -10_000, returns = if (adapts) UsableReturns else SequentialReturns)
     private var nextTicket = 0L
     private val admittedMillis = mutableListOf<Long>()
     private var refused = 0
@@ -56,7 +57,7 @@
     }
 
     private fun fallback(daemon: Int) =
-        FallbackTokens(if (case.isSplit) 0 else LimitDivision.fallbackTokens(organisation, limit, tolerance, daemon, case.daemons))
+        if (case.isSplit) FallbackTokens() else LimitDivision.fallback(organisation, limit, tolerance, daemon, case.daemons)
 
     private fun send(daemon: Int, message: RateLimiterMessage, now: Long) {
         val decision = decider.decide(limiters[daemon], message, now)
@@ -65,7 +66,9 @@
             when (effect) {
                 is RateLimiterEffect.Admitted -> admittedMillis.add(now)
                 is RateLimiterEffect.Refused -> refused += 1
-                is RateLimiterEffect.ReturnTokens -> Unit
+                is RateLimiterEffect.ReturnTokens ->
+                    reserve =
+                        reserve.deposit(organisation, effect.tokens, limit.scaledBy(reserveFraction), now)
                 is RateLimiterEffect.RequestReserve -> pendingRequests.add(Triple(daemon, effect, now + RESERVE_ROUND_TRIP_MILLIS))
             }
         }
@@ -84,6 +87,7 @@
                 given?.tokens,
                 given?.retryAfterMillis ?: 0,
                 given?.spacingMillis ?: 0,
+                given?.isLow ?: false,
             )
             send(daemon, received, now)
         }
--- a/balancing/src/test/kotlin/org/buckthornhub/quota/LimitSplitTest.kt
+++ b/balancing/src/test/kotlin/org/buckthornhub/quota/LimitSplitTest.kt
@@ -47,6 +47,7 @@
             daemons = 94,
             partitioned = { _, second -> second == 9 },
             maxRefusedPercent = 1.0,
+            maxRefusedAdaptingPercent = 1.2,
         ),
         LimitSplitCase(
             "94 daemons, a zone partitioned with its callers",
@@ -95,9 +96,9 @@
 
     @TestFactory
     fun `the fleet enforces the limit and rarely refuses below it`(): List<DynamicTest> = cases.flatMap { case ->
-        SEEDS.map { seed ->
-            DynamicTest.dynamicTest("$case, seed $seed") {
-                val outcome = LimitSplitSimulation(case, seed).run()
+        SEEDS.flatMap { seed -> listOf(seed to false, seed to true) }.map { (seed, adapts) ->
+            DynamicTest.dynamicTest("$case, seed $seed" + if (adapts) ", adapting to the load" else "") {
+                val outcome = LimitSplitSimulation(case, seed, adapts).run()
                 val allowed =
                     (case.ratePerSecond * WINDOW_SECONDS + case.ratePerSecond) * OVERRUN + LimitSplitSimulation.TOLERATED_OPERATIONS
                 val seen = outcome.maxInWindow(WINDOW_SECONDS * 1_000L)
@@ -105,7 +106,7 @@
                 case.minRefusedPercent?.let { min ->
                     assertTrue(outcome.wrongfulRefusalPercent >= min, "baseline: only ${outcome.wrongfulRefusalPercent} % were refused")
                 }
-                case.maxRefusedPercent?.let { max ->
+                (if (adapts) case.maxRefusedAdaptingPercent else case.maxRefusedPercent)?.let { max ->
                     assertTrue(
                         outcome.wrongfulRefusalPercent <= max,
                         "${outcome.wrongfulRefusalPercent} % were refused below the limit",
--- a/core/src/main/kotlin/org/buckthornhub/quota/LimitDivision.kt
+++ b/core/src/main/kotlin/org/buckthornhub/quota/LimitDivision.kt
@@ -23,14 +23,14 @@
     private const val WINDOW_SECONDS = 5.0
 
     /**
-     * Fraction of the burst that an organisation that was not low may use; less than [NOT_LOW], as daemons hear of a flood late.
+     * Fraction of the burst for an organisation that was not low; less than [NOT_LOW], as daemons hear of a flood late.
      *
-     * With [NOT_LOW], 4 of 600 random schedules had a window with up to 3 % too many; with 0.5, 1 of 2,000 with 1 %.
+     * None of 2,000 random schedules of `FloodReplayTest` exceeds the quota with it.
      */
-    private const val SPARE_BURST = 0.4
+    private const val SPARE_BURST = 0.65
 
     /** Less than the election timeout, in which a fleet that has lost its leader is issued no tokens; in s. */
-    private const val LEADERLESS_SECONDS = 0.3
+    private const val LEADERLESS_SECONDS = 0.5
 
     /** Fraction of the burst below which the reserve of an organisation is low; usual demand uses a token or two at a time. */
     public const val NOT_LOW: Double = 0.75
@@ -61,9 +61,9 @@
      * Returns the operations that a daemon may admit in a window while it can't reach the reserve, by what it last heard of the
      * organisation, and [fallbackTokens] as the number where that isn't considered.
      *
-     * A window with a change of leader holds the rate and what the bucket had at its begin, so the fallback may only be the tolerated
-     * overrun (a tenth of both), the rate while nobody issues tokens ([LEADERLESS_SECONDS]), and what is left of the burst: nothing in
-     * a flood, else more than [NOT_LOW].
+     * A window with a change of leader holds the rate and what the bucket had at its begin. So in a flood only the tolerated overrun, a
+     * tenth of both, may be admitted besides. An organisation that was not low has more than [NOT_LOW] of its burst left, and gets
+     * [SPARE_BURST] of it and the rate while nobody issues tokens ([LEADERLESS_SECONDS]).
      */
     public fun fallback(
         organisation: OrganisationId,
@@ -75,10 +75,11 @@
         val fixed = fallbackTokens(organisation, limit, tolerance, rank, daemons)
         if (fixed == 0) return FallbackTokens()
         val overrun = (limit.ratePerSecond * WINDOW_SECONDS + limit.burst) * tolerance.burstFraction
-        val inFlood = overrun + tolerance.operations * FALLBACK_TOLERANCE + limit.ratePerSecond * LEADERLESS_SECONDS
+        val inFlood = overrun + tolerance.operations * FALLBACK_TOLERANCE
+        val spare = limit.burst * SPARE_BURST + limit.ratePerSecond * LEADERLESS_SECONDS
         return FallbackTokens(
             fixed,
-            usual = minOf(fixed, partOf((inFlood + limit.burst * SPARE_BURST).toInt(), organisation, rank, daemons)),
+            usual = minOf(fixed, partOf((inFlood + spare).toInt(), organisation, rank, daemons)),
             inFlood = minOf(fixed, partOf(inFlood.toInt(), organisation, rank, daemons)),
         )
     }
