--- a/cli/src/main/kotlin/org/buckthornhub/cli/CommandLine.kt
+++ b/cli/src/main/kotlin/org/buckthornhub/cli/CommandLine.kt
@@ -1,6 +1,7 @@
 package org.buckthornhub.cli
 
 import org.buckthornhub.cli.check.CheckCommand
+import org.buckthornhub.cli.evacuation.EvacuationCommand
 import org.buckthornhub.cli.explain.ExplainCommand
 import org.buckthornhub.cli.grant.GrantCommand
 import org.buckthornhub.cli.key.KeyCommand
@@ -20,7 +21,7 @@
         required = true,
         metaVar = "COMMAND",
         handler = SubCommandHandler::class,
-        usage = "statement, load, plan, grant, key, primary, status, explain, check",
+        usage = "statement, load, plan, grant, key, primary, evacuation, status, explain, check",
     )
     @SubCommands(
         SubCommand(name = "statement", impl = StatementCommand::class),
@@ -29,6 +30,7 @@
         SubCommand(name = "grant", impl = GrantCommand::class),
         SubCommand(name = "key", impl = KeyCommand::class),
         SubCommand(name = "primary", impl = PrimaryCommand::class),
+        SubCommand(name = "evacuation", impl = EvacuationCommand::class),
         SubCommand(name = "status", impl = StatusCommand::class),
         SubCommand(name = "explain", impl = ExplainCommand::class),
         SubCommand(name = "check", impl = CheckCommand::class),
