Let waiting, rejecting and times of return follow the measured load

Cause: statements waited in the order of priority and arrival alone, for a quarter of their objective, and refused callers were told constants. One organisation at 7.5 times its usual rate took every connection of a daemon; begun transactions were refused after others had used their time.

Change: an interface WaitingOrder with the present order and a fair one; an estimate from hold times, connections in use and the statements before; rejection on arrival; a bounded queue; a schedule of returns. Used where adaptsToLoad is set; otherwise decisions and answers are as before. PoolDeciderTest runs its random schedules with the new settings too and fails if an unasked time of return is announced; FakeFleet takes settings.

--- a/balancing/src/main/kotlin/org/buckthornhub/instancepool/PoolDecider.kt
+++ b/balancing/src/main/kotlin/org/buckthornhub/instancepool/PoolDecider.kt
@@ -8,41 +8,69 @@
 import org.buckthornhub.decision.Decision
 import org.buckthornhub.decision.then
 import org.buckthornhub.directory.InstanceRecord
-import org.buckthornhub.group.GroupId
 import org.buckthornhub.group.Position
 import org.buckthornhub.horizon.CommitTimeline
-import org.buckthornhub.organisation.OrganisationId
+import org.buckthornhub.instancepool.waiting.ArrivalDecider
+import org.buckthornhub.instancepool.waiting.RefusalReason
+import org.buckthornhub.instancepool.waiting.ReturnCause
+import org.buckthornhub.instancepool.waiting.ReturnDecider
+import org.buckthornhub.instancepool.waiting.WaitEstimator
+import org.buckthornhub.instancepool.waiting.WaitingSettings
 import org.buckthornhub.target.TargetRole
 
 /** Shares the connections of one daemon among its sessions, within the daemon's connection limit for each instance. */
-public class PoolDecider(private val settings: PoolSettings) : Decider<PoolState, PoolMessage, PoolEffect> {
+public class PoolDecider(
+    private val settings: PoolSettings,
+    private val waiting: WaitingSettings = WaitingSettings(),
+) : Decider<PoolState, PoolMessage, PoolEffect> {
     private val cost = InstanceCost(settings)
+    private val assignment = ConnectionAssignment(cost, waiting)
+    private val refusals = RefusalDecider(cost, waiting)
+    private val arrivals = ArrivalDecider(waiting, WaitEstimator(cost, waiting.order))
 
     override fun decide(state: PoolState, message: PoolMessage, nowMillis: Long): Decision<PoolState, PoolEffect> = when (message) {
         is PoolMessage.Acquire -> acquire(state, message.waiting, nowMillis)
-        is PoolMessage.Released -> released(state, message, nowMillis).then { serve(it, nowMillis) }
-        is PoolMessage.Opened -> opened(state, message, nowMillis).then { serve(it, nowMillis) }
-        is PoolMessage.OpenFailed -> serve(openFailed(state, message, nowMillis), nowMillis)
-        is PoolMessage.Closed -> serve(closed(state, message), nowMillis)
+        is PoolMessage.Released -> released(measured(state, message, nowMillis), message, nowMillis).then {
+            assignment.serve(it, nowMillis)
+        }
+        is PoolMessage.Opened -> opened(state, message, nowMillis).then { assignment.serve(it, nowMillis) }
+        is PoolMessage.OpenFailed -> assignment.serve(openFailed(state, message, nowMillis), nowMillis)
+        is PoolMessage.Closed -> assignment.serve(closed(state, message), nowMillis)
         is PoolMessage.Demoted -> Decision(state.update(message.target) { copy(isDemoted = true) })
-        is PoolMessage.Directory -> directory(state, message.records, nowMillis).then { serve(it, nowMillis) }
+        is PoolMessage.Directory -> directory(state, message.records, nowMillis).then { assignment.serve(it, nowMillis) }
         is PoolMessage.Limits ->
-            serve(state.copy(limits = message.limits.toPersistentMap(), shortLived = message.shortLived), nowMillis)
-        is PoolMessage.Tick -> expire(state, nowMillis).then { serve(it, nowMillis) }.then { closeLingering(it, nowMillis) }
+            assignment.serve(state.copy(limits = message.limits.toPersistentMap(), shortLived = message.shortLived), nowMillis)
+        is PoolMessage.ReturnAsked -> returnAsked(state, message, nowMillis)
+        is PoolMessage.Tick -> expire(state, nowMillis).then { assignment.serve(it, nowMillis) }.then { closeLingering(it, nowMillis) }
     }
 
     // Answers the load of callers whose primary is lost: they are told at once, instead of after a wait that can't help.
-    private fun acquire(state: PoolState, waiting: PendingConnectionRequest, nowMillis: Long): Decision<PoolState, PoolEffect> {
-        val instances = state.instances.values.filter { it.record.group == waiting.request.group }
-        val isHopeless = instances.isNotEmpty() && instances.none { cost.mayServeUntil(it, waiting, nowMillis) }
-        if (isHopeless) return Decision(state, persistentListOf(refusal(state, waiting, nowMillis)))
-        return serve(state.copy(waiting = state.waiting.add(waiting)), nowMillis)
+    private fun acquire(state: PoolState, arriving: PendingConnectionRequest, nowMillis: Long): Decision<PoolState, PoolEffect> {
+        if (refusals.isHopeless(state, arriving, nowMillis)) {
+            return refusals.refuse(state, arriving, RefusalReason.NO_INSTANCE, nowMillis)
+        }
+        val arrival = arrivals.decide(state, arriving, nowMillis)
+        val refused = arrival.refused ?: return assignment.serve(arrival.state, nowMillis)
+        return refusals.refuse(arrival.state, refused, arrival.reason, nowMillis, arrival.freeInMillis)
+            .then { assignment.serve(it, nowMillis) }
+    }
+
+    private fun returnAsked(state: PoolState, message: PoolMessage.ReturnAsked, nowMillis: Long): Decision<PoolState, PoolEffect> {
+        val isOutage = message.cause is ReturnCause.NoPrimary && message.kind != null
+        val outages = if (isOutage) state.waits.outages.began(checkNotNull(message.kind), nowMillis) else state.waits.outages
+        val known = state.copy(waits = state.waits.copy(outages = outages))
+        val freeInMillis = ReturnDecider.freeInMillis(known, message.kind, message.cause, nowMillis)
+        val (next, afterMillis) = ReturnDecider.returnOf(known, message.kind, freeInMillis, message.maxReturnMillis, nowMillis)
+        return Decision(next, persistentListOf(PoolEffect.Return(message.ticket, afterMillis)))
     }
 
-    private fun refusal(state: PoolState, waiting: PendingConnectionRequest, nowMillis: Long): PoolEffect {
-        val isPrimaryKnown =
-            state.instances.values.any { it.record.group == waiting.request.group && cost.servesAsPrimary(it, nowMillis) }
-        return PoolEffect.Refuse(waiting.ticket, hasNoPrimary = !isPrimaryKnown)
+    // The time of a statement that got no answer is a timeout, which says nothing about the others.
+    private fun measured(state: PoolState, message: PoolMessage.Released, nowMillis: Long): PoolState {
+        val use = state.waits.holds.held[message.connection] ?: return state
+        val extraMillis = nowMillis - use.sinceMillis - use.chargedMillis
+        val progress = state.waits.progress.corrected(use.kind.group, use.organisation, extraMillis)
+        val holds = state.waits.holds.released(message.connection, isMeasured = !message.isSilent, nowMillis)
+        return state.copy(waits = state.waits.copy(progress = progress, holds = holds))
     }
 
     private fun released(state: PoolState, message: PoolMessage.Released, nowMillis: Long): Decision<PoolState, PoolEffect> {
@@ -91,7 +119,22 @@
         val closes = replaced.flatMap { instance -> instance.idle.map { PoolEffect.Close(it.id) } }
         val kept = replaced.fold(state.instances) { map, instance -> map.remove(instance.record.target) }
         val instances = known.values.fold(kept) { map, record -> map.put(record.target, withRecord(map[record.target], record, nowMillis)) }
-        return Decision(state.copy(instances = instances), closes.toPersistentList())
+        return Decision(withoutOutages(state.copy(instances = instances), nowMillis), closes.toPersistentList())
+    }
+
+    private fun withoutOutages(state: PoolState, nowMillis: Long): PoolState {
+        val over = state.waits.outages.sinceMillis.keys.filter { kind ->
+            state.instances.values.any { instance ->
+                instance.record.group == kind.group && nowMillis >= instance.retryAtMillis && cost.servesAsPrimary(instance, nowMillis)
+            }
+        }
+        return state.copy(
+            waits = state.waits.copy(
+                outages = over.fold(state.waits.outages) { known, kind ->
+                    known.ended(kind, nowMillis)
+                },
+            ),
+        )
     }
 
     private fun withRecord(known: PoolInstance?, record: InstanceRecord, nowMillis: Long): PoolInstance {
@@ -106,11 +149,23 @@
 
     private fun expire(state: PoolState, nowMillis: Long): Decision<PoolState, PoolEffect> {
         val due = state.waiting.filter { it.deadlineMillis <= nowMillis }
-        if (due.isEmpty()) return Decision(state)
-        val refusals = due.map { refusal(state, it, nowMillis) }
-        return Decision(state.copy(waiting = state.waiting.removeAll(due)), refusals.toPersistentList())
+        val late = due.fold(Decision<PoolState, PoolEffect>(state.without(due))) { decision, waiting ->
+            decision.then { refusals.refuse(it, waiting, RefusalReason.EXPIRED, nowMillis) }
+        }
+        return if (waiting.rejectsOnArrival) late.then { refuseHopeless(it, nowMillis) } else late
+    }
+
+    // Addresses the loss of an instance while statements wait for it: waiting longer would only delay the refusal.
+    private fun refuseHopeless(state: PoolState, nowMillis: Long): Decision<PoolState, PoolEffect> {
+        val hopeless = state.waiting.filter { refusals.isHopeless(state, it, nowMillis) }
+        return hopeless.fold(Decision(state.without(hopeless))) { decision, waiting ->
+            decision.then { refusals.refuse(it, waiting, RefusalReason.NO_INSTANCE, nowMillis) }
+        }
     }
 
+    private fun PoolState.without(refused: List<PendingConnectionRequest>): PoolState =
+        if (refused.isEmpty()) this else copy(waiting = waiting.removeAll(refused))
+
     private fun closeLingering(state: PoolState, nowMillis: Long): Decision<PoolState, PoolEffect> {
         val start = Decision<PoolState, PoolEffect>(state)
         val lingering = state.instances.values.filter { it.record.group in state.shortLived && it.idle.isNotEmpty() }
@@ -124,70 +179,6 @@
         }
     }
 
-    private fun serve(state: PoolState, nowMillis: Long): Decision<PoolState, PoolEffect> =
-        if (state.waiting.isEmpty()) Decision(state) else checkOutIdle(state, nowMillis).then { openForWaiting(it, nowMillis) }
-
-    // A request that can use an idle connection gets it before the connection may be closed to make room for a new one.
-    private fun checkOutIdle(state: PoolState, nowMillis: Long): Decision<PoolState, PoolEffect> =
-        byPriority(state).fold(Decision(state)) { decision, waiting ->
-            val instance = cheapest(decision.state, waiting, nowMillis)
-            val open = instance?.idleConnectionFor(waiting.request)
-            if (instance == null || open == null) decision else decision.then { checkOut(it, instance, open, waiting) }
-        }
-
-    private fun openForWaiting(state: PoolState, nowMillis: Long): Decision<PoolState, PoolEffect> {
-        val start = Decision<PoolState, PoolEffect>(state)
-        // Each connection that is being opened serves one waiting request, which must not open a second one.
-        val beingOpened: List<Pair<GroupId, OrganisationId>> =
-            state.instances.values.flatMap { instance -> instance.opening.values.map { instance.record.group to it } }
-        return byPriority(state).fold(start to beingOpened) { (decision, open), waiting ->
-            val key = waiting.request.group to waiting.organisation
-            if (key in open) return@fold decision to open - key
-            val instance = cheapest(decision.state, waiting, nowMillis)?.takeIf { mayOpen(decision.state, it, waiting, nowMillis) }
-            (if (instance == null) decision else decision.then { open(it, instance, waiting.organisation) }) to open
-        }.first
-    }
-
-    private fun byPriority(state: PoolState): List<PendingConnectionRequest> = state.waiting.sortedBy { it.request.priority }
-
-    private fun cheapest(state: PoolState, waiting: PendingConnectionRequest, nowMillis: Long): PoolInstance? {
-        val limit = state.limitOf(waiting.request.group)
-        return state.instances.values
-            .mapNotNull { instance -> cost.of(instance, waiting.request, limit, nowMillis)?.let { instance to it } }
-            .minByOrNull { it.second }?.first
-    }
-
-    // A connection of the same organisation that is in use is released about as soon as a new one would be open.
-    private fun mayOpen(state: PoolState, instance: PoolInstance, waiting: PendingConnectionRequest, nowMillis: Long): Boolean =
-        instance.size < state.limitOf(instance.record.group) ||
-            waiting.organisation !in instance.inUse.values ||
-            nowMillis - waiting.sinceMillis >= EVICTION_DELAY_MILLIS
-
-    private fun checkOut(
-        state: PoolState,
-        instance: PoolInstance,
-        connection: PoolConnection,
-        waiting: PendingConnectionRequest,
-    ): Decision<PoolState, PoolEffect> {
-        val next = state
-            .copy(waiting = state.waiting.remove(waiting))
-            .update(instance.record.target) {
-                copy(idle = idle.remove(connection), inUse = inUse.put(connection.id, connection.state.organisation))
-            }
-        return Decision(next, persistentListOf(PoolEffect.CheckOut(waiting.ticket, connection, instance.record)))
-    }
-
-    private fun open(state: PoolState, instance: PoolInstance, organisation: OrganisationId): Decision<PoolState, PoolEffect> {
-        val target = instance.record.target
-        val evicted = if (instance.size >= state.limitOf(instance.record.group)) instance.idle.firstOrNull() else null
-        val room = if (evicted == null) Decision(state) else close(state.update(target) { copy(idle = idle.remove(evicted)) }, evicted.id)
-        return room.then {
-            val id = ConnectionId(it.nextConnection)
-            val next = it.copy(nextConnection = it.nextConnection + 1).update(target) { copy(opening = opening.put(id, organisation)) }
-            Decision(next, persistentListOf(PoolEffect.Open(id, instance.record, organisation)))
-        }
-    }
-
     private fun close(state: PoolState, connection: ConnectionId): Decision<PoolState, PoolEffect> =
         Decision(state, persistentListOf(PoolEffect.Close(connection)))
 
@@ -197,8 +188,6 @@
         return if (isNewer) copy(applied = position, lastAnswerMillis = nowMillis) else copy(lastAnswerMillis = nowMillis)
     }
 
-    private val PendingConnectionRequest.organisation: OrganisationId get() = request.organisation ?: OrganisationId.NONE
-
     public companion object {
         /**
          * How long a request waits for a connection of its organisation that is in use, before another connection is closed to
--- a/balancing/src/main/kotlin/org/buckthornhub/instancepool/PoolMessage.kt
+++ b/balancing/src/main/kotlin/org/buckthornhub/instancepool/PoolMessage.kt
@@ -4,6 +4,8 @@
 import org.buckthornhub.directory.InstanceRecord
 import org.buckthornhub.group.GroupId
 import org.buckthornhub.group.Position
+import org.buckthornhub.instancepool.waiting.HoldKind
+import org.buckthornhub.instancepool.waiting.ReturnCause
 import org.buckthornhub.target.TargetId
 
 /** Messages to the connection pool of a daemon. */
@@ -60,4 +62,17 @@
 
     /** The periodic timer of the pool fired, or a wait is due. */
     public data object Tick : PoolMessage
+
+    /**
+     * A statement was refused for [cause] by something other than the pool; answered by [PoolEffect.Return].
+     *
+     * @property kind what the statement asked for; null if the refusal concerns all groups
+     * @property maxReturnMillis longest time in ms after which the caller can use a further attempt
+     */
+    public data class ReturnAsked(
+        val ticket: Long,
+        val kind: HoldKind?,
+        val cause: ReturnCause,
+        val maxReturnMillis: Long,
+    ) : PoolMessage
 }
--- a/balancing/src/main/kotlin/org/buckthornhub/instancepool/PoolState.kt
+++ b/balancing/src/main/kotlin/org/buckthornhub/instancepool/PoolState.kt
@@ -5,6 +5,7 @@
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
 import org.buckthornhub.group.GroupId
+import org.buckthornhub.instancepool.waiting.WaitingState
 import org.buckthornhub.target.TargetId
 
 /**
@@ -13,6 +14,7 @@
  * @property limits maximum number of connections that this daemon may hold to one instance, by group
  * @property shortLived groups to whose instances no idle connection is kept
  * @property waiting requests that wait for a connection, in the order of their arrival
+ * @property waits measurements and schedules where waiting follows the measured load
  */
 public data class PoolState(
     val instances: PersistentMap<TargetId, PoolInstance> = persistentMapOf(),
@@ -20,6 +22,7 @@
     val shortLived: Set<GroupId> = emptySet(),
     val waiting: PersistentList<PendingConnectionRequest> = persistentListOf(),
     val nextConnection: Long = 1,
+    val waits: WaitingState = WaitingState(),
 ) {
     internal fun limitOf(group: GroupId): Int = limits[group] ?: 1
 
--- a/balancing/src/test/kotlin/org/buckthornhub/instancepool/PoolDeciderTest.kt
+++ b/balancing/src/test/kotlin/org/buckthornhub/instancepool/PoolDeciderTest.kt
@@ -9,18 +9,20 @@
 import org.buckthornhub.group.LogPosition
 import org.buckthornhub.group.Position
 import org.buckthornhub.group.Term
+import org.buckthornhub.instancepool.waiting.WaitingSettings
 import org.buckthornhub.organisation.OrganisationId
 import org.buckthornhub.target.TargetId
 import org.buckthornhub.target.TargetRole
 import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.Arguments
 import org.junit.jupiter.params.provider.CsvSource
 import org.junit.jupiter.params.provider.MethodSource
-import org.junit.jupiter.params.provider.ValueSource
 import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
 import kotlin.test.assertTrue
+import kotlin.test.fail
 
 internal class PoolDeciderTest {
     private val decider = PoolDecider(settings)
@@ -115,8 +117,12 @@
     }
 
     @ParameterizedTest
-    @ValueSource(ints = [1, 2, 3, 4, 5, 6, 7, 8, 9, 10])
-    fun `no limit is exceeded, no connection is checked out twice, and every request gets one answer`(seed: Int) {
+    @MethodSource("schedules")
+    fun `no limit is exceeded, no connection is checked out twice, and every request gets one answer`(
+        seed: Int,
+        waitingSettings: WaitingSettings,
+    ) {
+        val decider = PoolDecider(settings, waitingSettings)
         val random = Random(seed)
         val records = listOf(primary, near, far)
         var state = decider.decide(PoolState(limits = persistentMapOf(group to LIMIT)), PoolMessage.Directory(records), 0).state
@@ -132,6 +138,7 @@
                     is PoolEffect.Open -> opening = opening + effect
                     is PoolEffect.Close -> assertTrue(inUse.none { it.id == effect.connection }, "a connection in use was closed")
                     is PoolEffect.Refuse -> answered = answered + effect.ticket
+                    is PoolEffect.Return -> fail("no time of return was asked for")
                     is PoolEffect.CheckOut -> {
                         assertTrue(inUse.none { it.id == effect.connection.id }, "a connection was checked out twice")
                         answered = answered + effect.ticket
@@ -144,7 +151,9 @@
         for (now in 0L..4_000L step 4) {
             when (random.nextInt(6)) {
                 0, 1 -> take(
-                    PoolMessage.Acquire(PendingConnectionRequest(++asked, randomRequest(random), now, now + random.nextLong(1, 80))),
+                    PoolMessage.Acquire(
+                        PendingConnectionRequest(++asked, randomRequest(random), now, now + random.nextLong(1, 80), random.nextBoolean()),
+                    ),
                     now,
                 )
                 2 -> opening.randomOrNull(random)?.let { open ->
@@ -226,6 +235,13 @@
         private fun unreachable(name: String, untilMillis: Long): (PoolState) -> PoolState =
             { state -> state.update(TargetId(name)) { copy(failures = 3, retryAtMillis = untilMillis) } }
 
+        @JvmStatic
+        fun schedules(): List<Arguments> = (1..10).flatMap { seed ->
+            listOf(WaitingSettings(), WaitingSettings.ADAPTIVE, WaitingSettings.ADAPTIVE.copy(maxWaiting = 3)).map {
+                Arguments.of(seed, it)
+            }
+        }
+
         @JvmStatic
         fun hopelessCases(): List<HopelessCase> = listOf(
             HopelessCase("the primary can be reached", ConnectionRequirement.Primary, { it }, isRefused = false),
--- a/daemon/src/main/kotlin/org/buckthornhub/connection/Admission.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/Admission.kt
@@ -1,5 +1,6 @@
 package org.buckthornhub.connection
 
+import org.buckthornhub.instancepool.waiting.WaitTerms
 import org.buckthornhub.organisation.OrganisationId
 import org.buckthornhub.routetable.DatabaseRoute
 
@@ -7,6 +8,8 @@
  * An admitted operation: its route and the organisation that it runs for.
  *
  * @property caller by which the organisation is looked up again after a wait
+ * @property operationMillis local monotonic time at which the operation began, which retries do not change
+ * @property hasBegun whether it is the first statement of a transaction that has begun
  * @property receivedMillis local monotonic time at which the statement was received or, for a retry, at which the attempt began
  */
 internal data class Admission(
@@ -14,7 +17,16 @@
     val organisation: OrganisationId,
     val caller: CallerIdentity,
     val receivedMillis: Long,
+    val operationMillis: Long = receivedMillis,
+    val hasBegun: Boolean = false,
 ) {
+    /** What limits the wait for a connection where it follows the measured load. */
+    val waitTerms: WaitTerms
+        get() = WaitTerms(operationMillis, receivedMillis, route.objectiveMillis, route.statementTimeoutMillis, hasBegun)
+
+    /** Returns this admission for the first statement of a transaction, received at [nowMillis]. */
+    fun begunAt(nowMillis: Long): Admission = copy(receivedMillis = nowMillis, operationMillis = nowMillis, hasBegun = true)
+
     /** Returns this admission for a statement that is received, or retried, at [nowMillis]. */
     fun at(nowMillis: Long): Admission = copy(receivedMillis = nowMillis)
 
--- a/daemon/src/main/kotlin/org/buckthornhub/connection/AdmissionGate.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/AdmissionGate.kt
@@ -50,7 +50,7 @@
             ProxyError(
                 ErrorKind.CONFIGURATION_STALE,
                 "no majority of the control quorum has confirmed the configuration for $ageMillis ms",
-                STALE_RETRY_MILLIS,
+                environment.fixedReturn(STALE_RETRY_MILLIS),
             ),
         )
     }
--- a/daemon/src/main/kotlin/org/buckthornhub/connection/AdmittedConnections.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/AdmittedConnections.kt
@@ -12,7 +12,12 @@
 internal class AdmittedConnections(private val environment: SessionEnvironment) {
     /** Fails as the pool does, and with `KEY_UNKNOWN` or `QUEUE_FULL` if the organisation lost the key while the operation waited. */
     suspend fun acquire(request: ConnectionRequest, admission: Admission): Result<TargetLease, ProxyError> {
-        val lease = environment.pool.acquire(request, admission.acquireDeadlineMillis).getOrElse { return Err(it) }
+        val acquired = if (environment.pool.adaptsToLoad) {
+            environment.pool.acquire(request, admission.waitTerms)
+        } else {
+            environment.pool.acquire(request, admission.acquireDeadlineMillis)
+        }
+        val lease = acquired.getOrElse { return Err(it) }
         val refusal = refusalOf(admission) ?: return Ok(lease)
         lease.release()
         return Err(refusal)
--- a/daemon/src/main/kotlin/org/buckthornhub/connection/PrimaryStatementRunner.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/PrimaryStatementRunner.kt
@@ -20,6 +20,7 @@
 /** Runs single statements on the primary. */
 internal class PrimaryStatementRunner(private val environment: SessionEnvironment) {
     private val connections = AdmittedConnections(environment)
+    private val leaseReturn get() = environment.fixedReturn(LEASE_RETRY_MILLIS)
 
     /** Runs a read inside a read-write transaction, which only the primary begins, so that a deposed primary never serves it. */
     suspend fun read(scope: CoroutineScope, work: DataStatement, id: RequestId, session: SessionState, admission: Admission): RunOutcome {
@@ -72,12 +73,12 @@
     /** Checks out a connection to the primary; fails if this daemon may not use it as such. */
     suspend fun acquire(admission: Admission): Result<TargetLease, ProxyError> {
         if (!environment.authority.await(admission.acquireDeadlineMillis)) {
-            return Err(ProxyError(ErrorKind.NO_PRIMARY, "this daemon has no lease for the use of primaries", LEASE_RETRY_MILLIS))
+            return Err(ProxyError(ErrorKind.NO_PRIMARY, "this daemon has no lease for the use of primaries", leaseReturn))
         }
         val lease = connections.acquire(requestFor(admission), admission).getOrElse { return Err(it) }
         if (environment.authority.allows(admission.route.group, lease.instance.target)) return Ok(lease)
         lease.release()
-        return Err(ProxyError(ErrorKind.NO_PRIMARY, "${lease.instance.target} is being replaced", LEASE_RETRY_MILLIS))
+        return Err(ProxyError(ErrorKind.NO_PRIMARY, "${lease.instance.target} is being replaced", leaseReturn))
     }
 
     /** Records the position in the answer to [answered]; returns false if another instance may have been promoted before the answer. */
@@ -98,7 +99,7 @@
     // Another instance may have acknowledged commits before this read began.
     private fun replaced(lease: TargetLease): RunOutcome {
         val target = lease.instance.target
-        val error = ProxyError(ErrorKind.NO_PRIMARY, "$target may have been replaced before its answer", LEASE_RETRY_MILLIS)
+        val error = ProxyError(ErrorKind.NO_PRIMARY, "$target may have been replaced before its answer", leaseReturn)
         return RunOutcome.Retry(AttemptFailure.NotRun(target, error), isTargetAvoided = false)
     }
 
--- a/daemon/src/main/kotlin/org/buckthornhub/connection/SessionEnvironment.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/SessionEnvironment.kt
@@ -26,4 +26,7 @@
     val isCutOff: () -> Boolean,
     val decisions: DecisionLog,
     val clock: Clock,
-)
+) {
+    /** Returns [millis] where times of return are fixed; null where [RefusalReturns] derives them from the measured load. */
+    fun fixedReturn(millis: Long): Long? = millis.takeUnless { pool.adaptsToLoad }
+}
--- a/daemon/src/main/kotlin/org/buckthornhub/connection/SessionTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/SessionTask.kt
@@ -31,6 +31,7 @@
     private val gate = AdmissionGate(environment)
     private val statementRunner = SingleStatementRunner(environment)
     private val recorder = StatementRecorder(environment)
+    private val returns = RefusalReturns(environment)
     private var session = SessionState()
     private var transaction: TransactionRunner? = null
     private lateinit var caller: CallerIdentity
@@ -65,7 +66,7 @@
         val request = withTimeoutOrNull(HANDSHAKE_TIMEOUT_MILLIS) { link.requests.receiveCatching().getOrNull() } ?: return false
         if (request !is ClientRequest.Start) return end(ProxyError(ErrorKind.MALFORMED_REQUEST, "the first request must open a session"))
         caller = CallerIdentity(request.database, KeyDigest.of(request.key))
-        gate.check(caller).getOrElse { return end(it) }
+        gate.check(caller).getOrElse { return end(returns.timed(it, caller)) }
         link.send(ClientReply.Started)
         return true
     }
@@ -187,15 +188,15 @@
         current?.let { recorder.recordServed(it, caller, startedMillis, served) }
     }
 
-    private fun refuse(failure: StatementFailure, state: SessionState) {
+    private suspend fun refuse(failure: StatementFailure, state: SessionState) {
         session = state
-        link.send(ClientReply.Failed(failure.error, phase()))
+        link.send(ClientReply.Failed(returns.timed(failure.error, caller), phase()))
         recorder.recordFailed(current, caller, startedMillis, failure)
     }
 
-    private fun failTransaction(error: ProxyError): Boolean = failTransaction(StatementFailure.refused(error))
+    private suspend fun failTransaction(error: ProxyError): Boolean = failTransaction(StatementFailure.refused(error))
 
-    private fun failTransaction(failure: StatementFailure): Boolean {
+    private suspend fun failTransaction(failure: StatementFailure): Boolean {
         transaction?.rollBack()
         transaction = null
         refuse(failure, session.copy(transaction = TransactionState.Failed))
@@ -203,7 +204,7 @@
     }
 
     // The commit was not sent. Like any other answer to a commit, this one ends the transaction.
-    private fun refuseCommit(error: ProxyError): Boolean {
+    private suspend fun refuseCommit(error: ProxyError): Boolean {
         transaction?.rollBack()
         transaction = null
         refuse(StatementFailure.refused(error), session.copy(transaction = TransactionState.None))
@@ -211,7 +212,7 @@
     }
 
     // Closes the connection if its database or key no longer exists, or if another daemon may have a better connection to the fleet.
-    private fun refuseOperation(failure: StatementFailure): Boolean {
+    private suspend fun refuseOperation(failure: StatementFailure): Boolean {
         refuse(failure, session)
         return failure.error.kind !in CLOSING_KINDS && !environment.isCutOff()
     }
--- a/daemon/src/main/kotlin/org/buckthornhub/connection/TransactionRunner.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/TransactionRunner.kt
@@ -128,9 +128,10 @@
         lease?.let { return Ok(it) }
         var excluded: Set<TargetId> = emptySet()
         var attempts = persistentListOf<AttemptFailure>()
+        val first = admission.begunAt(environment.clock.nowMillis())
         repeat(MAX_ATTEMPTS) {
             val startedMillis = environment.clock.nowMillis()
-            val failed = begin(session, open, admission.at(environment.clock.nowMillis()), excluded).mapBoth(
+            val failed = begin(session, open, first.at(environment.clock.nowMillis()), excluded).mapBoth(
                 success = { begun ->
                     lease = begun
                     return Ok(begun)
--- a/daemon/src/main/kotlin/org/buckthornhub/daemon/SessionProxyAssembly.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/daemon/SessionProxyAssembly.kt
@@ -36,6 +36,9 @@
 import org.buckthornhub.instancepool.PoolMessage
 import org.buckthornhub.instancepool.PoolSettings
 import org.buckthornhub.instancepool.PoolTask
+import org.buckthornhub.instancepool.WaitMetrics
+import org.buckthornhub.instancepool.WaitObserver
+import org.buckthornhub.instancepool.waiting.WaitingSettings
 import org.buckthornhub.observe.MetricsRoutes
 import org.buckthornhub.quota.RateLimiterTask
 import org.buckthornhub.target.TargetRole
@@ -49,7 +52,9 @@
     decisions: DecisionLog = DecisionLog.NONE,
 ) {
     private val registry = PrometheusRegistry()
-    private val pool = PoolTask(PoolSettings(settings.zone, settings.primaryDrainMillis), targets, clock)
+    private val waiting = if (settings.adaptsToLoad) WaitingSettings.ADAPTIVE else WaitingSettings()
+    private val waits = if (settings.adaptsToLoad) WaitMetrics(registry) else WaitObserver.NONE
+    private val pool = PoolTask(PoolSettings(settings.zone, settings.primaryDrainMillis), targets, clock, waiting, waits)
     private val view = MutableStateFlow(ProxyView())
     private val authority =
         if (settings.isFencedByPlatform) PrimaryAuthority.FENCED_BY_PLATFORM else LeasedPrimaryAuthority(view, clock)
--- a/daemon/src/main/kotlin/org/buckthornhub/instancepool/PoolTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/instancepool/PoolTask.kt
@@ -21,6 +21,12 @@
 import org.buckthornhub.error.ErrorKind
 import org.buckthornhub.error.ProxyError
 import org.buckthornhub.fleet.StateSource
+import org.buckthornhub.group.GroupId
+import org.buckthornhub.instancepool.waiting.HoldKind
+import org.buckthornhub.instancepool.waiting.RefusalReason
+import org.buckthornhub.instancepool.waiting.ReturnCause
+import org.buckthornhub.instancepool.waiting.WaitTerms
+import org.buckthornhub.instancepool.waiting.WaitingSettings
 import org.buckthornhub.target.TargetId
 import org.buckthornhub.task.Task
 import org.buckthornhub.task.startTicker
@@ -30,24 +36,44 @@
     settings: PoolSettings,
     private val links: TargetLink.Factory,
     private val clock: Clock,
+    private val waiting: WaitingSettings = WaitingSettings(),
+    private val observer: WaitObserver = WaitObserver.NONE,
 ) : Task<PoolCommand>("pool"),
     StateSource<PoolState> {
-    private val decider = PoolDecider(settings)
+    private val decider = PoolDecider(settings, waiting)
     private val published = MutableStateFlow(PoolState())
     private var openLinks: PersistentMap<ConnectionId, TargetLink> = persistentMapOf()
     private var pending: PersistentMap<Long, PoolCommand.Acquire> = persistentMapOf()
+    private var pendingReturns: PersistentMap<Long, CompletableDeferred<Long>> = persistentMapOf()
     private var nextTicket = 0L
     private lateinit var scope: CoroutineScope
 
     override fun current(): PoolState = published.value
 
+    /** Whether statements wait as the measured load allows, by [acquire] with terms; otherwise until a deadline that the route sets. */
+    val adaptsToLoad: Boolean get() = waiting.rejectsOnArrival
+
+    /** Checks out a connection for a statement that may wait as [terms] allow. */
+    suspend fun acquire(request: ConnectionRequest, terms: WaitTerms): Result<TargetLease, ProxyError> {
+        val holdMillis = current().waits.holds.costMillis(HoldKind.of(request, terms.hasBegun), clock.nowMillis())
+        return acquire(request, terms.deadlineMillis(holdMillis), terms)
+    }
+
+    /**
+     * Returns the time in ms after which a caller that was refused for [cause] is to return, at most [maxMillis].
+     *
+     * @param kind what the caller asked for; null if its refusal concerns all groups
+     */
+    suspend fun returnAfter(kind: HoldKind?, cause: ReturnCause, maxMillis: Long): Long {
+        val answer = CompletableDeferred<Long>()
+        val isSent = offer(PoolCommand.ReturnAfter(kind, cause, maxMillis, answer))
+        return (if (isSent) withTimeoutOrNull(LOST_REPLY_MILLIS) { answer.await() } else null) ?: maxMillis
+    }
+
     /** Checks out a connection; fails with `NO_PRIMARY` or `QUEUE_FULL` once [deadlineMillis] has passed. */
-    suspend fun acquire(request: ConnectionRequest, deadlineMillis: Long): Result<TargetLease, ProxyError> {
+    suspend fun acquire(request: ConnectionRequest, deadlineMillis: Long, terms: WaitTerms? = null): Result<TargetLease, ProxyError> {
         val answer = CompletableDeferred<Result<TargetLease, ProxyError>>()
-        if (!offer(
-                PoolCommand.Acquire(request, clock.nowMillis(), deadlineMillis, answer),
-            )
-        ) {
+        if (!offer(PoolCommand.Acquire(request, clock.nowMillis(), deadlineMillis, terms, answer))) {
             return Err(ProxyError(ErrorKind.QUEUE_FULL, "the connection pool accepts no more requests"))
         }
         var isReceived = false
@@ -74,6 +100,10 @@
     override suspend fun handle(message: PoolCommand): Unit = when (message) {
         is PoolCommand.Decide -> decide(message.message)
         is PoolCommand.Acquire -> acquire(message)
+        is PoolCommand.ReturnAfter -> {
+            pendingReturns = pendingReturns.put(++nextTicket, message.reply)
+            decide(PoolMessage.ReturnAsked(nextTicket, message.kind, message.cause, message.maxMillis))
+        }
         is PoolCommand.LinkOpened -> {
             openLinks = openLinks.put(message.connection, message.link)
             decide(message.message)
@@ -84,7 +114,8 @@
 
     private fun acquire(message: PoolCommand.Acquire) {
         pending = pending.put(++nextTicket, message)
-        val waiting = PendingConnectionRequest(nextTicket, message.request, message.requestedMillis, message.deadlineMillis)
+        val bare = PendingConnectionRequest(nextTicket, message.request, message.requestedMillis, message.deadlineMillis)
+        val waiting = message.terms?.let { bare.copy(hasBegun = it.hasBegun, maxReturnMillis = it.maxReturnMillis) } ?: bare
         decide(PoolMessage.Acquire(waiting))
         if (nextTicket in pending) {
             scheduleTick(waiting.sinceMillis + PoolDecider.EVICTION_DELAY_MILLIS)
@@ -118,7 +149,11 @@
         }
         is PoolEffect.Close -> close(effect.connection)
         is PoolEffect.CheckOut -> checkOut(effect)
-        is PoolEffect.Refuse -> complete(effect.ticket, Err(refusal(effect)))
+        is PoolEffect.Refuse -> refuse(effect)
+        is PoolEffect.Return -> {
+            pendingReturns[effect.ticket]?.complete(effect.retryAfterMillis)
+            pendingReturns = pendingReturns.remove(effect.ticket)
+        }
     }
 
     private fun checkOut(effect: PoolEffect.CheckOut) {
@@ -126,6 +161,7 @@
         val waitedMillis = pending[effect.ticket]?.let { clock.nowMillis() - it.requestedMillis } ?: 0
         val lease = link?.let { TargetLease(effect.connection, effect.instance, waitedMillis, it, this) }
         val result = lease?.let { Ok(it) } ?: Err(ProxyError(ErrorKind.NO_TARGET, "the connection to ${effect.instance.target} was closed"))
+        if (lease != null) observer.served(waitedMillis, effect.estimatedMillis)
         complete(effect.ticket, result)
         if (lease == null) offer(PoolCommand.Decide(PoolMessage.Released(effect.connection.id, effect.connection.target, null, null)))
     }
@@ -135,13 +171,25 @@
         pending = pending.remove(ticket)
     }
 
-    private fun refusal(effect: PoolEffect.Refuse): ProxyError {
-        val group = pending[effect.ticket]?.request?.group
-        return if (effect.hasNoPrimary) {
-            ProxyError(ErrorKind.NO_PRIMARY, "no primary of group $group is known", retryAfterMillis = NO_PRIMARY_RETRY_MILLIS)
-        } else {
-            ProxyError(ErrorKind.QUEUE_FULL, "no connection to group $group became available in time", retryAfterMillis = BUSY_RETRY_MILLIS)
+    private fun refuse(effect: PoolEffect.Refuse) {
+        val refused = pending[effect.ticket] ?: return
+        val nowMillis = clock.nowMillis()
+        observer.refused(refused.request.group, effect, nowMillis - refused.requestedMillis, nowMillis)
+        complete(effect.ticket, Err(errorOf(effect, refused.request.group)))
+    }
+
+    private fun errorOf(effect: PoolEffect.Refuse, group: GroupId): ProxyError = when {
+        effect.hasNoPrimary -> {
+            val afterMillis = effect.retryAfterMillis ?: NO_PRIMARY_RETRY_MILLIS
+            ProxyError(ErrorKind.NO_PRIMARY, "no primary of group $group is known", afterMillis)
         }
+        else -> ProxyError(ErrorKind.QUEUE_FULL, detailOf(effect.reason, group), effect.retryAfterMillis ?: BUSY_RETRY_MILLIS)
+    }
+
+    private fun detailOf(reason: RefusalReason, group: GroupId): String = when (reason) {
+        RefusalReason.EXPIRED, RefusalReason.NO_INSTANCE -> "no connection to group $group became available in time"
+        RefusalReason.WAIT_TOO_LONG -> "the expected wait for a connection to group $group is too long"
+        RefusalReason.QUEUE_FULL, RefusalReason.DISPLACED -> "too many statements wait for a connection to group $group"
     }
 
     private suspend fun connect(effect: PoolEffect.Open) {
--- a/daemon/src/test/kotlin/org/buckthornhub/connection/FakeFleet.kt
+++ b/daemon/src/test/kotlin/org/buckthornhub/connection/FakeFleet.kt
@@ -21,6 +21,7 @@
 import org.buckthornhub.instancepool.PoolMessage
 import org.buckthornhub.instancepool.PoolSettings
 import org.buckthornhub.instancepool.PoolTask
+import org.buckthornhub.instancepool.waiting.WaitingSettings
 import org.buckthornhub.organisation.ApiKey
 import org.buckthornhub.organisation.KeyDigest
 import org.buckthornhub.organisation.OrganisationId
@@ -39,6 +40,7 @@
     private val scope: TestScope,
     private val instances: List<FakeInstance>,
     isFenced: Boolean = true,
+    waiting: WaitingSettings = WaitingSettings(),
 ) {
     private val clock = object : Clock {
         override fun nowMillis(): Long = scope.currentTime + START_MILLIS
@@ -53,6 +55,7 @@
         PoolSettings(ZoneId("a")),
         { instance, organisation, _, _ -> Ok(FakeLink(instances.first { it.record.target == instance.target }, organisation)) },
         clock,
+        waiting,
     )
     private val view = MutableStateFlow(ProxyView(table, confirmedAt(), directory = directory(), leasedAt = confirmedAt()))
     private val authority = if (isFenced) PrimaryAuthority.FENCED_BY_PLATFORM else LeasedPrimaryAuthority(view, clock)
