--- a/balancing/src/main/kotlin/org/buckthornhub/instancepool/waiting/FairOrder.kt
+++ b/balancing/src/main/kotlin/org/buckthornhub/instancepool/waiting/FairOrder.kt
@@ -16,7 +16,7 @@
     /** Connection time of other urgencies, in multiples of its own, after which a statement is served: each gets a ninth of the time. */
     private const val PASSED_OVER_COSTS = 8
 
-    /** Connection time per round. Handing a connection to another organisation takes 14 ms, so at most a fifth of the time goes there. */
+    /** Connection time per round. Handing over a connection takes 14 ms; shorter rounds did so too often in a burst. */
     private const val QUANTUM_MILLIS = 240.0
 
     /** How far an organisation may be behind the others; bounds the advantage of one that was served little for long. */
@@ -50,8 +50,12 @@
         served: PendingConnectionRequest,
         others: List<PendingConnectionRequest>,
         costMillis: Double,
-    ): PersistentMap<Int, Double> =
-        (others.map { it.urgency }.toSet() - served.urgency).associateWith { (known[it] ?: 0.0) + costMillis }.toPersistentMap()
+    ): PersistentMap<Int, Double> {
+        // What others used beyond the share is kept for the next statement; otherwise long ones of others would shrink the share.
+        val rest = (known[served.urgency] ?: 0.0) - PASSED_OVER_COSTS * costMillis
+        val waiting = (others.map { it.urgency }.toSet() - served.urgency).associateWith { (known[it] ?: 0.0) + costMillis }
+        return (if (rest > 0) waiting + (served.urgency to rest) else waiting).toPersistentMap()
+    }
 
     private fun tiersOfGroup(
         waiting: List<PendingConnectionRequest>,
@@ -79,9 +83,11 @@
         val rounds = waiting.groupBy { it.organisation }.flatMap { (organisation, own) ->
             val ahead = progress.startOf(organisation) - progress.currentMillis
             val starts = own.runningFold(ahead) { start, statement -> start + costOf(statement) }
-            own.zip(starts) { statement, start -> (start / QUANTUM_MILLIS).toInt() to statement }
+            own.zip(starts)
         }
-        return rounds.groupBy({ it.first }, { it.second }).toSortedMap().mapValues { (_, round) -> round.sortedBy { it.ticket } }
+        // Within a round, an organisation that sends one statement at a time does not wait for all earlier ones of another.
+        return rounds.sortedWith(compareBy({ it.second }, { it.first.ticket }))
+            .groupBy({ (it.second / QUANTUM_MILLIS).toInt() }, { it.first })
     }
 
     private val PendingConnectionRequest.organisation: OrganisationId get() = request.organisation ?: OrganisationId.NONE
--- a/daemon/src/main/kotlin/org/buckthornhub/connection/SessionTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/SessionTask.kt
@@ -192,8 +192,9 @@
 
     private suspend fun refuse(failure: StatementFailure, state: SessionState) {
         session = state
-        link.send(ClientReply.Failed(returns.timed(failure.error, caller), phase()))
-        recorder.recordFailed(current, caller, startedMillis, failure)
+        val told = returns.timed(failure.error, caller)
+        link.send(ClientReply.Failed(told, phase()))
+        recorder.recordFailed(current, caller, startedMillis, failure, told)
     }
 
     private suspend fun failTransaction(error: ProxyError): Boolean = failTransaction(StatementFailure.refused(error))
--- a/daemon/src/main/kotlin/org/buckthornhub/connection/StatementRecorder.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/StatementRecorder.kt
@@ -3,6 +3,7 @@
 import kotlinx.collections.immutable.persistentListOf
 import org.buckthornhub.coordination.ProxyView
 import org.buckthornhub.decisionlog.DecisionEvent
+import org.buckthornhub.error.ProxyError
 import org.buckthornhub.statement.RequestId
 
 /** Records what became of statements, with the state of the daemon that decided it. Times are local monotonic ms. */
@@ -22,7 +23,8 @@
         )
     }
 
-    fun recordFailed(id: RequestId?, caller: CallerIdentity, startedMillis: Long, failure: StatementFailure) {
+    /** @param told error that the caller was sent, with the time of its return */
+    fun recordFailed(id: RequestId?, caller: CallerIdentity, startedMillis: Long, failure: StatementFailure, told: ProxyError) {
         val view = environment.view.value
         environment.decisions.record(
             DecisionEvent.RequestFailed(
@@ -30,7 +32,7 @@
                 database = caller.database,
                 guarantee = guaranteeOf(caller, view),
                 organisation = view.table?.holderOf(caller.key)?.organisation,
-                error = failure.error,
+                error = told,
                 tookMillis = environment.clock.nowMillis() - startedMillis,
                 tableVersion = view.table?.version,
                 tableAgeMillis = view.ageMillis(environment.clock),
