Limit what the connections of clients hold together

Cause: nothing bounded the bytes of all connections together, nor their number. Buffers ran out, so connections of ordinary callers were closed too; all descriptors were in use; and a control VM ended for lack of memory, or lost its main thread and went on without answering, because the handler of uncaught errors ran out of memory itself.

Ruled out: closing whoever reaches the limit, which refuses ordinary callers in the replay of a flood (OverloadReplayTest).

Change: OverloadDecider and ClosingChoice in balancing decide on one budget of bytes, one limit on connections and the time for an incomplete message; ConnectionGuard in runtime carries that out for the callers' server and the HTTP servers that clients reach. Messages up to 4 KiB don't touch the shared state. An HTTP connection may have two requests without an answer. AcceptGate closes new sockets at once while closed ones still keep their descriptors. An error of the JVM that nobody handles halts the process. Metrics, log lines, docs/design/overload.md.

UnreadRepliesTest passes a guard without limits to CallerChannel; its checks are unchanged.

--- a/daemon/src/main/kotlin/org/buckthornhub/daemon/ControlVmAssembly.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/daemon/ControlVmAssembly.kt
@@ -94,6 +94,9 @@
         }
     }
 
+    /** Adds a metric of the program that this assembly runs in. */
+    public fun gauge(name: String, help: String, value: () -> Double): Unit = SessionMetrics.gauge(registry, name, help, value)
+
     public fun start(scope: CoroutineScope) {
         memberLinks.start(scope)
         control.start(scope)
--- a/daemon/src/main/kotlin/org/buckthornhub/daemon/SessionProxyAssembly.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/daemon/SessionProxyAssembly.kt
@@ -92,6 +92,9 @@
         return stopping.isActive && view.table != null && view.isFresh(clock, settings.keyFreshMillis) && !isCutOff()
     }
 
+    /** Adds a metric of the program that this assembly runs in. */
+    public fun gauge(name: String, help: String, value: () -> Double): Unit = SessionMetrics.gauge(registry, name, help, value)
+
     public fun start(scope: CoroutineScope) {
         this.scope = scope
         listOf(pool, commitTimelines, rateLimiter, report).forEach { it.start(scope) }
--- a/runtime/src/main/kotlin/org/buckthornhub/http/HttpServer.kt
+++ b/runtime/src/main/kotlin/org/buckthornhub/http/HttpServer.kt
@@ -21,6 +21,8 @@
 import io.ktor.utils.io.readRemaining
 import kotlinx.coroutines.CancellationException
 import kotlinx.io.readByteArray
+import org.buckthornhub.overload.AcceptGate
+import org.buckthornhub.overload.ConnectionGuard
 
 /**
  * HTTP server on non-blocking I/O.
@@ -28,6 +30,7 @@
  * @param host address to listen on
  * @param otherPorts additional ports on [host] that serve the same routes
  * @param maxBodyBytes limit on request bodies; a larger one gets [tooLarge], by default with status 413
+ * @param guard limits what the connections hold; null for a server that only trusted peers reach
  * @param onFault reply if a handler throws; it contains no stack trace
  */
 public class HttpServer(
@@ -38,11 +41,16 @@
     private val tooLarge: HttpReply = HttpReply(PAYLOAD_TOO_LARGE, "{}"),
     private val onFault: HttpReply = HttpReply(SERVER_ERROR, "{}"),
     otherPorts: List<Int> = emptyList(),
+    guard: ConnectionGuard? = null,
 ) {
     private val engine: EmbeddedServer<NettyApplicationEngine, NettyApplicationEngine.Configuration> =
         embeddedServer(
             Netty,
             configure = {
+                if (guard != null) {
+                    configureBootstrap = { handler(AcceptGate(guard)) }
+                    channelPipelineConfig = { addAfter(CODEC, GUARD, HttpGuardHandler(guard)) }
+                }
                 (listOf(port) + otherPorts).forEach { each ->
                     connector {
                         this.host = host
@@ -110,6 +118,10 @@
         public const val DEFAULT_MAX_BODY_BYTES: Long = 1_048_576
         private const val PAYLOAD_TOO_LARGE = 413
         private const val SERVER_ERROR = 500
+
+        /** Name that Ktor gives its HTTP codec. */
+        private const val CODEC = "codec"
+        private const val GUARD = "guard"
         private const val CONTENT_TYPE = "Content-Type"
         private val logger = KotlinLogging.logger {}
     }
