--- a/balancing/src/main/kotlin/org/buckthornhub/overload/OverloadLimits.kt
+++ b/balancing/src/main/kotlin/org/buckthornhub/overload/OverloadLimits.kt
@@ -32,8 +32,8 @@
         private const val DEFAULT_CONNECTIONS = 1_000
         private const val MIN_CONNECTIONS = 16
 
-        /** A message of the maximum size has to fit, with its copies. */
-        private const val MIN_BUDGET_BYTES = 5_000_000L
+        /** A message of 1 MiB has to fit, with its copies and as a value that the session keeps. */
+        private const val MIN_BUDGET_BYTES = 6_000_000L
 
         /** Returns the limits of a process with [heapBytes]. [memoryMegabytes] and [maxDescriptors] are 0 if they are not known. */
         public fun of(heapBytes: Long, memoryMegabytes: Double, maxDescriptors: Int): OverloadLimits {
