--- a/balancing/src/main/kotlin/org/buckthornhub/instancepool/PoolDecider.kt
+++ b/balancing/src/main/kotlin/org/buckthornhub/instancepool/PoolDecider.kt
@@ -140,7 +140,9 @@
     private fun withoutOutages(state: PoolState, nowMillis: Long): PoolState {
         val over = state.waits.outages.sinceMillis.keys.filter { kind ->
             state.instances.values.any { instance ->
-                instance.record.group == kind.group && nowMillis >= instance.retryAtMillis && eligibility.servesAsPrimary(instance, nowMillis)
+                instance.record.group == kind.group &&
+                    nowMillis >= instance.retryAtMillis &&
+                    eligibility.servesAsPrimary(instance, nowMillis)
             }
         }
         return state.copy(
