--- a/review/standins-2/Group.java
+++ b/review/standins-2/Group.java
@@ -324,7 +324,7 @@
         }
 
         private void run(String id, String floor, String text) throws IOException, InterruptedException {
-            if (!id.equals("-") && !id.startsWith("r")) group.record.line(instance.id + " gets " + id + " for " + tenant + (floor == null ? "" : " at " + floor) + ": " + cut(text));
+            if (!id.equals("-") && !id.startsWith("r") && !id.startsWith("w0x") && !id.startsWith("w1x") && !id.startsWith("w2x") && !id.startsWith("w3x")) group.record.line(instance.id + " gets " + id + " for " + tenant + (floor == null ? "" : " at " + floor) + ": " + cut(text));
             String word = text.split(" ")[0];
             if (floor != null && lacks(floor)) {
                 error("LAGGING");
