Review case 8: a stray heartbeat of an unknown service causes a failover there

Heartbeats are accepted for any service name, and every group that the directory holds is reviewed for a missing primary.

--- a/review/standins-2/Group.java
+++ b/review/standins-2/Group.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** A database service: one primary and its replicas, as the platform's pages describe them. */
 final class Group implements AutoCloseable {
@@ -35,6 +36,10 @@
     /** Rows that a read answers with, and their size. */
     volatile int rows = 1;
     volatile int rowChars = 12;
+    /** Whether its instances send heartbeats to the control machines. */
+    volatile boolean isHeard = true;
+    /** Statements that its instances were sent. */
+    final AtomicInteger statements = new AtomicInteger();
     private volatile boolean closed;
 
     Group(Fleet fleet, String service, int size, int slots, int maxConnections, int syncReplicas, int firstHost) throws IOException {
@@ -138,7 +143,12 @@
             }
         }
 
-        synchronized void beat() {
+        void beat() {
+            if (isHeard) send();
+        }
+
+        /** Sends one heartbeat, to another control machine if one doesn't acknowledge it. */
+        synchronized void send() {
             if (!isRunning || closed) return;
             sequence++;
             String body = "{\"service\":\"" + service + "\",\"address\":\"" + ip + ":" + port + "\",\"zone\":\"" + zone
@@ -295,6 +305,7 @@
             if (!isKnown) return refuse("WRONGNODE");
             if (instance.connections.size() > group.maxConnections) return refuse("CONNLIMIT");
             tenant = fields[2];
+            if (!group.isHeard) group.record.line(instance.id + " accepts " + line);
             pause(12);
             write("READY I " + instance.position() + "\r\n");
             return true;
@@ -306,6 +317,7 @@
         }
 
         boolean handle(String line) throws IOException {
+            group.statements.incrementAndGet();
             String[] head = line.split(" ", 3);
             String id = head[1];
             String text = head[2];
--- a/review/standins-2/Platform.java
+++ b/review/standins-2/Platform.java
@@ -20,6 +20,8 @@
     /** Called with the group and the instance just after each promotion. */
     volatile java.util.function.BiConsumer<Group, Group.Instance> onPromoted = (group, instance) -> {};
 
+    volatile java.util.function.Consumer<String> onOrder = service -> {};
+
     Platform(Fleet fleet, List<Group> groups) throws IOException {
         this.groups = groups;
         record = fleet.record;
@@ -35,6 +37,7 @@
         long fence = Long.parseLong(exchange.getRequestHeaders().getFirst("X-Buckthornhub-Fencing-Token"));
         String service = field(body, "service");
         String id = field(body, "id");
+        onOrder.accept(service);
         int status = order(service, id, fence);
         record.line("POST /failover " + service + " " + id + " by " + holder + " with token " + fence + ": " + status);
         exchange.sendResponseHeaders(status, -1);
