--- a/review/standins-2/Group.java
+++ b/review/standins-2/Group.java
@@ -193,6 +193,8 @@
                 }
             } catch (IOException e) {
                 // The connection ended; what was not committed is rolled back.
+            } catch (java.util.concurrent.RejectedExecutionException e) {
+                // The group was closed.
             } finally {
                 connections.remove(socket);
             }
