Promote only an instance that holds every acknowledged commit of a group with sync-replicas

Cause: sync-replicas was dropped when the configuration was decoded, so the control leader could not know that a commit may be held by one replica alone. A survey took whatever gave no usable answer off the list and promoted the best of the rest. The busy slot is one way; a silent, slow or leaving replica, a refused promotion and a vacant address are others, and get the same answer.

Ruled out: the comparison of positions (it chose the newest of those it had); the time limit of the survey alone (asking a busy replica again lets this case hold, a silent one would be lost the same way).

Change: the number is read, stored and given to the failover. With s of n replicas, only an instance that has received as much as n - s + 1 of them is promoted (AcknowledgedCommits, SyncFailover). Before these positions are compared, the replicas stop receiving: an old primary that still runs would otherwise acknowledge commits that the chosen one lacks. Replicas that a failover paused, also one of an earlier leader, receive again once their group is healthy. A busy replica is asked again, and counts with the position that it has applied, which is enough to be promoted, not to be passed over. Tables that an earlier version stored lack the number, and are read again from the operator's document. Services with sync-replicas 0 take the former path.

RouteTableReviewTest: a group's changes now name both of its fields; the row expects the longer text.

--- a/core/src/main/kotlin/org/buckthornhub/coordination/CoordinatorDecider.kt
+++ b/core/src/main/kotlin/org/buckthornhub/coordination/CoordinatorDecider.kt
@@ -72,6 +72,7 @@
             probed = leading.probed.keys.filter { it !in demand.reports }.fold(leading.probed) { map, vm -> map.remove(vm) },
             designations = message.designations,
             evacuated = message.evacuated,
+            syncReplicas = message.syncReplicas,
             leases = leading.leases.pruned(nowMillis),
         )
         return review(next, nowMillis)
@@ -87,6 +88,7 @@
             since,
             state.designations,
             fencedRevision(state, since, nowMillis),
+            state.syncReplicas,
         )
         return decideFailover(state, message, nowMillis)
     }
--- a/core/src/main/kotlin/org/buckthornhub/coordination/CoordinatorMessage.kt
+++ b/core/src/main/kotlin/org/buckthornhub/coordination/CoordinatorMessage.kt
@@ -3,6 +3,7 @@
 import org.buckthornhub.directory.InstanceRecord
 import org.buckthornhub.failover.FailoverMessage
 import org.buckthornhub.fleet.ZoneId
+import org.buckthornhub.group.GroupId
 import org.buckthornhub.group.PrimaryDesignations
 import org.buckthornhub.target.TargetId
 
@@ -26,10 +27,12 @@
      * @property isLeader whether this VM leads the control quorum
      * @property designations primaries that the control quorum has designated
      * @property evacuated availability zones whose instances may not lead
+     * @property syncReplicas number of replicas that have received each acknowledged commit, by group
      */
     public data class Tick(
         val isLeader: Boolean,
         val designations: PrimaryDesignations = PrimaryDesignations(),
         val evacuated: Set<ZoneId> = emptySet(),
+        val syncReplicas: Map<GroupId, Int> = emptyMap(),
     ) : CoordinatorMessage
 }
--- a/core/src/main/kotlin/org/buckthornhub/failover/FailoverDecider.kt
+++ b/core/src/main/kotlin/org/buckthornhub/failover/FailoverDecider.kt
@@ -19,6 +19,8 @@
         when (message) {
             is FailoverMessage.Review -> review(state, message, nowMillis)
             is FailoverMessage.Surveyed -> surveyed(state, message)
+            is FailoverMessage.HolderAnswered -> located(state, message, nowMillis)
+            is FailoverMessage.Resumed -> SyncFailover.onResumed(state, message)
             is FailoverMessage.PromotionAttempted -> ordered(state, message, nowMillis)
             is FailoverMessage.Designated -> PromotionFence.onDesignated(state, message)
             is FailoverMessage.PrimaryStopped -> PromotionFence.onPrimaryStopped(state, message)
@@ -27,7 +29,9 @@
     private fun review(state: FailoverState, message: FailoverMessage.Review, nowMillis: Long): Decision<FailoverState, FailoverEffect> =
         message.records.groupBy { it.group }.entries.fold(Decision(state)) { decision, (group, records) ->
             decision.then {
-                reviewGroup(trackPrimary(it, group, records, message, nowMillis), group, records, message, nowMillis)
+                val tracked = trackPrimary(it, group, records, message, nowMillis)
+                val seated = SyncFailover.trackSeats(tracked, group, records, message, nowMillis)
+                reviewGroup(seated, group, records, message, nowMillis)
             }
         }
 
@@ -57,9 +61,9 @@
         nowMillis: Long,
     ): Decision<FailoverState, FailoverEffect> = when (val phase = state.phaseOf(group)) {
         is FailoverPhase.Watching -> PromotionFence.resume(state, group, records, message.designations)
-            ?: reasonToReplace(state, group, records, message.unreachable, nowMillis)
-                ?.let { survey(state, group, records, message, it, nowMillis) } ?: Decision(state)
+            ?: watching(state, group, records, message, nowMillis)
         is FailoverPhase.Surveying -> surveying(state, group, phase, records, nowMillis)
+        is FailoverPhase.Locating -> promote(SyncFailover.onReview(state, group, phase, records, nowMillis), group)
         is FailoverPhase.Fencing ->
             if (message.fencedRevision >= phase.revision) PromotionFence.promote(state, group, phase) else Decision(state)
         is FailoverPhase.Designating, is FailoverPhase.Promoting -> Decision(state)
@@ -69,6 +73,24 @@
         }
     }
 
+    private fun watching(
+        state: FailoverState,
+        group: GroupId,
+        records: List<InstanceRecord>,
+        message: FailoverMessage.Review,
+        nowMillis: Long,
+    ): Decision<FailoverState, FailoverEffect> {
+        val isSync = (message.syncReplicas[group] ?: 0) > 0
+        val reason = reasonToReplace(state, group, records, message.unreachable, nowMillis)
+        return when {
+            reason == null -> if (isSync) SyncFailover.resume(state, group, records) else Decision(state)
+            !isSync -> survey(state, group, records, message, reason, nowMillis)
+            // By then every instance that can reach this VM has announced itself.
+            nowMillis - message.listeningSinceMillis < settings.withoutPrimaryMillis -> Decision(state)
+            else -> SyncFailover.begin(state, group, records, message, reason, nowMillis + settings.surveyMillis)
+        }
+    }
+
     private fun reasonToReplace(
         state: FailoverState,
         group: GroupId,
@@ -150,15 +172,32 @@
                 state.with(group, FailoverPhase.Watching).copy(excluded = persistentSetOf()),
                 persistentListOf(FailoverEffect.LogEvent(group, "no replica to promote", phase.reason)),
             )
-        if (!settings.isFencedByPlatform) return PromotionFence.designate(state, group, phase, best.key, best.value.received.term)
+        return promote(state, group, PromotionChoice(best.key, best.value.received, phase.reason, phase.replaced, phase.designation))
+    }
+
+    private fun located(
+        state: FailoverState,
+        message: FailoverMessage.HolderAnswered,
+        nowMillis: Long,
+    ): Decision<FailoverState, FailoverEffect> {
+        val phase = state.phaseOf(message.group) as? FailoverPhase.Locating ?: return Decision(state)
+        val deadlineMillis = nowMillis + settings.surveyMillis
+        return promote(SyncFailover.onAnswer(state, phase, message, deadlineMillis), message.group)
+    }
+
+    private fun promote(step: LocatingStep, group: GroupId): Decision<FailoverState, FailoverEffect> =
+        step.choice?.let { promote(step.decision.state, group, it) } ?: step.decision
+
+    private fun promote(state: FailoverState, group: GroupId, choice: PromotionChoice): Decision<FailoverState, FailoverEffect> {
+        if (!settings.isFencedByPlatform) return PromotionFence.designate(state, group, choice)
         val order = state.orderCounts[group] ?: 0
         return Decision(
             state
-                .with(group, FailoverPhase.Promoting(best.key, phase.reason, order))
+                .with(group, FailoverPhase.Promoting(choice.target, choice.reason, order))
                 .copy(orderCounts = state.orderCounts.put(group, order + 1)),
             persistentListOf(
-                FailoverEffect.LogEvent(group, "promoting ${best.key}, which received ${best.value.received}", phase.reason),
-                FailoverEffect.Promote(group, best.key, delayMillis = 0, order),
+                FailoverEffect.LogEvent(group, "promoting ${choice.target}, which received ${choice.received}", choice.reason),
+                FailoverEffect.Promote(group, choice.target, delayMillis = 0, order),
             ),
         )
     }
--- a/core/src/main/kotlin/org/buckthornhub/failover/FailoverEffect.kt
+++ b/core/src/main/kotlin/org/buckthornhub/failover/FailoverEffect.kt
@@ -12,6 +12,24 @@
         val target: TargetId,
     ) : FailoverEffect
 
+    /**
+     * Requests the status of [target], where a replica has received each acknowledged commit; the answer arrives as
+     * [FailoverMessage.HolderAnswered].
+     *
+     * @property pauseIn term for which the replica first stops receiving commits; null if it goes on
+     */
+    public data class SurveyHolder(
+        val group: GroupId,
+        val target: TargetId,
+        val pauseIn: Term? = null,
+    ) : FailoverEffect
+
+    /** Makes the replica [target] receive commits again; the result arrives as [FailoverMessage.Resumed]. */
+    public data class Resume(
+        val group: GroupId,
+        val target: TargetId,
+    ) : FailoverEffect
+
     /**
      * Orders [target] to lead [group] after [delayMillis]; the result arrives as [FailoverMessage.PromotionAttempted].
      *
--- a/core/src/main/kotlin/org/buckthornhub/failover/FailoverMessage.kt
+++ b/core/src/main/kotlin/org/buckthornhub/failover/FailoverMessage.kt
@@ -3,6 +3,7 @@
 import org.buckthornhub.directory.InstanceRecord
 import org.buckthornhub.group.GroupId
 import org.buckthornhub.group.PrimaryDesignations
+import org.buckthornhub.group.Term
 import org.buckthornhub.target.TargetId
 
 /** Messages handled by [FailoverDecider]. */
@@ -15,6 +16,7 @@
      * @property designations primaries that the control quorum has designated
      * @property fencedRevision newest revision of the designations that is obeyed by every daemon with a lease for primaries
      * @property listeningSinceMillis time from which this VM has received announcements of instances (local monotonic ms)
+     * @property syncReplicas number of replicas that have received each acknowledged commit, by group; 0 for a missing group
      */
     public data class Review(
         val records: Collection<InstanceRecord>,
@@ -22,6 +24,7 @@
         val listeningSinceMillis: Long,
         val designations: PrimaryDesignations = PrimaryDesignations(),
         val fencedRevision: Long = 0,
+        val syncReplicas: Map<GroupId, Int> = emptyMap(),
     ) : FailoverMessage
 
     /** Answer of [target] to a survey; [status] is null if it gave none in time. */
@@ -31,6 +34,20 @@
         val status: InstanceStatus?,
     ) : FailoverMessage
 
+    /** Answer of [target] to [FailoverEffect.SurveyHolder] with [pauseIn]; [status] is null if it gave none in time. */
+    public data class HolderAnswered(
+        val group: GroupId,
+        val target: TargetId,
+        val pauseIn: Term?,
+        val status: InstanceStatus?,
+    ) : FailoverMessage
+
+    /** Result of [FailoverEffect.Resume]. */
+    public data class Resumed(
+        val target: TargetId,
+        val isDone: Boolean,
+    ) : FailoverMessage
+
     /** Result of [FailoverEffect.Designate]; [designations] is null if the change was not committed. */
     public data class Designated(
         val group: GroupId,
--- a/core/src/main/kotlin/org/buckthornhub/failover/FailoverPhase.kt
+++ b/core/src/main/kotlin/org/buckthornhub/failover/FailoverPhase.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
+import org.buckthornhub.group.Term
 import org.buckthornhub.target.TargetId
 
 /** Phase of the failover of one group. */
@@ -24,6 +25,34 @@
         val designation: Long = 0,
     ) : FailoverPhase
 
+    /**
+     * Waits for the positions of [holders], replicas that may be the only ones with an acknowledged commit; [needed] answers
+     * include one that has received it.
+     *
+     * The first round finds out whether enough of them answer. The second one, in which they receive no more commits, decides:
+     * without it, the old primary could go on acknowledging commits that the chosen instance lacks.
+     *
+     * @property pauseIn term for which the holders are paused in the second round; null in the first
+     * @property silent holders that gave no answer in this round
+     * @property leaving instances that are shutting down
+     * @property mayPromoteLeaving whether an instance that is shutting down may lead, as the group has no primary that can be reached
+     * @property replaced see [Surveying]
+     * @property designation see [Surveying]
+     */
+    public data class Locating(
+        val holders: Set<TargetId>,
+        val needed: Int,
+        val deadlineMillis: Long,
+        val reason: String,
+        val pauseIn: Term? = null,
+        val answers: PersistentMap<TargetId, InstanceStatus> = persistentMapOf(),
+        val silent: Set<TargetId> = emptySet(),
+        val leaving: Set<TargetId> = emptySet(),
+        val mayPromoteLeaving: Boolean = false,
+        val replaced: TargetId? = null,
+        val designation: Long = 0,
+    ) : FailoverPhase
+
     /**
      * Waits until the control quorum has committed that only [target] may lead.
      *
--- a/core/src/main/kotlin/org/buckthornhub/failover/FailoverState.kt
+++ b/core/src/main/kotlin/org/buckthornhub/failover/FailoverState.kt
@@ -14,6 +14,8 @@
  * @property groupsSeenWithPrimary groups that have had a primary in the directory
  * @property withoutPrimarySince time from which each group has had no primary in the directory (local monotonic ms)
  * @property excluded instances that refused a promotion order; not surveyed until a promotion succeeds or no other candidate is left
+ * @property seats addresses at which each group with synchronous replicas has had instances
+ * @property receiving replicas that are known not to be paused by a failover, of this leader or an earlier one
  * @property orderCounts number of instances that this leader has ordered to lead each group; a missing group has none
  */
 public data class FailoverState(
@@ -22,6 +24,8 @@
     val withoutPrimarySince: PersistentMap<GroupId, Long> = persistentMapOf(),
     val excluded: PersistentSet<TargetId> = persistentSetOf(),
     val orderCounts: PersistentMap<GroupId, Int> = persistentMapOf(),
+    val seats: PersistentMap<GroupId, GroupSeats> = persistentMapOf(),
+    val receiving: PersistentSet<TargetId> = persistentSetOf(),
 ) {
     /** Whether some promotion waits for daemons to obey a designation. */
     public val isFencing: Boolean get() = phases.values.any { it is FailoverPhase.Fencing }
--- a/core/src/main/kotlin/org/buckthornhub/failover/PromotionFence.kt
+++ b/core/src/main/kotlin/org/buckthornhub/failover/PromotionFence.kt
@@ -6,8 +6,6 @@
 import org.buckthornhub.directory.InstanceRecord
 import org.buckthornhub.group.GroupId
 import org.buckthornhub.group.PrimaryDesignations
-import org.buckthornhub.group.Term
-import org.buckthornhub.target.TargetId
 import org.buckthornhub.target.TargetRole
 
 /**
@@ -18,21 +16,16 @@
  * its role, or every daemon obeys the designation or has lost its lease.
  */
 internal object PromotionFence {
-    /** Designates [target], and asks the primary that it replaces to give up its role, if that one can be reached. */
-    fun designate(
-        state: FailoverState,
-        group: GroupId,
-        survey: FailoverPhase.Surveying,
-        target: TargetId,
-        receivedTerm: Term,
-    ): Decision<FailoverState, FailoverEffect> {
-        val stop = survey.replaced?.let { FailoverEffect.StopPrimary(group, it, Term(receivedTerm.value + 1)) }
+    /** Designates the instance of [choice], and asks the primary that it replaces to give up its role, if that one can be reached. */
+    fun designate(state: FailoverState, group: GroupId, choice: PromotionChoice): Decision<FailoverState, FailoverEffect> {
+        val stop = choice.replaced?.let { FailoverEffect.StopPrimary(group, it, choice.received.term.next()) }
         val effects = listOfNotNull(
-            FailoverEffect.LogEvent(group, "designating $target", survey.reason),
-            FailoverEffect.Designate(group, target, survey.designation),
+            FailoverEffect.LogEvent(group, "designating ${choice.target}", choice.reason),
+            FailoverEffect.Designate(group, choice.target, choice.designation),
             stop,
         )
-        return Decision(state.with(group, FailoverPhase.Designating(target, survey.reason, survey.replaced)), effects.toPersistentList())
+        val phase = FailoverPhase.Designating(choice.target, choice.reason, choice.replaced)
+        return Decision(state.with(group, phase), effects.toPersistentList())
     }
 
     fun onDesignated(state: FailoverState, message: FailoverMessage.Designated): Decision<FailoverState, FailoverEffect> {
--- a/core/src/test/kotlin/org/buckthornhub/coordination/FencingSimulation.kt
+++ b/core/src/test/kotlin/org/buckthornhub/coordination/FencingSimulation.kt
@@ -96,6 +96,7 @@
                 }
             }
             is FailoverEffect.Promote -> promotedMillis = promotedMillis ?: now
+            is FailoverEffect.SurveyHolder, is FailoverEffect.Resume -> error("the group has no synchronous replicas")
             is FailoverEffect.LogEvent -> Unit
         }
     }
--- a/core/src/test/kotlin/org/buckthornhub/routetable/review/RouteTableReviewTest.kt
+++ b/core/src/test/kotlin/org/buckthornhub/routetable/review/RouteTableReviewTest.kt
@@ -141,7 +141,8 @@
                 listOf(
                     "CHANGE ROUTE 0 route of database e is added",
                     "CHANGE TABLE 0 route of database d is removed",
-                    "CHANGE GROUP 0 group g changes from GroupLimits(maxConnections=9) to GroupLimits(maxConnections=12)",
+                    "CHANGE GROUP 0 group g changes from GroupLimits(maxConnections=9, syncReplicas=null) " +
+                        "to GroupLimits(maxConnections=12, syncReplicas=null)",
                     "CHANGE ORGANISATION 0 organisation o: 2 keys are added; 1 keys are withdrawn; the burst changes from 10.0 to 20.0",
                 ),
                 inForce = valid.table,
--- a/daemon/src/main/kotlin/org/buckthornhub/connection/TargetStatement.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/connection/TargetStatement.kt
@@ -35,6 +35,12 @@
     /** Makes a primary of a term before [term] a replica. */
     public data class StepDown(val term: Term) : TargetStatement
 
+    /** Makes a replica stop receiving commits, if [term] is above the newest term that it knows. */
+    public data class Pause(val term: Term) : TargetStatement
+
+    /** Makes a replica receive commits again. */
+    public data object Resume : TargetStatement
+
     /** Requests the status of the target. */
     public data object Status : TargetStatement
 }
--- a/daemon/src/main/kotlin/org/buckthornhub/coordination/CoordinatorTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/coordination/CoordinatorTask.kt
@@ -25,7 +25,9 @@
 import org.buckthornhub.failover.InstanceSurvey
 import org.buckthornhub.failover.PrimaryStopper
 import org.buckthornhub.failover.PromotionOutcome
+import org.buckthornhub.failover.ReplicaControl
 import org.buckthornhub.fleet.VmId
+import org.buckthornhub.routetable.review.RouteTableReader
 import org.buckthornhub.target.TargetId
 import org.buckthornhub.task.DeciderTask
 
@@ -38,6 +40,8 @@
     private val stopper: PrimaryStopper,
     settings: FailoverSettings,
     clock: Clock,
+    private val replicas: ReplicaControl? = null,
+    reader: RouteTableReader? = null,
 ) : DeciderTask<CoordinatorState, CoordinatorMessage, FailoverEffect>(
     "coordinator",
     CoordinatorDecider(FailoverDecider(settings)),
@@ -46,6 +50,7 @@
 ) {
     private val latest = MutableStateFlow(current())
     private val refused = RefusedAnnouncementLog(clock)
+    private val syncReplicas = SyncReplicas(reader)
     private lateinit var scope: CoroutineScope
 
     /** Emits after each handled message. */
@@ -57,7 +62,8 @@
             var known = Evacuations()
             while (true) {
                 val state = control.state.current()
-                offer(CoordinatorMessage.Tick(control.leadership.current().isLeader, state.designations, state.evacuations.zones))
+                val isLeader = control.leadership.current().isLeader
+                offer(CoordinatorMessage.Tick(isLeader, state.designations, state.evacuations.zones, syncReplicas.of(state.routeTable)))
                 if (state.evacuations != known) {
                     known = state.evacuations
                     logger.info { "evacuated zones are ${known.zones}, change ${known.revision}" }
@@ -89,6 +95,8 @@
     override suspend fun carryOut(effect: FailoverEffect) {
         when (effect) {
             is FailoverEffect.Survey -> scope.launch { survey(effect) }
+            is FailoverEffect.SurveyHolder -> scope.launch { surveyHolder(effect) }
+            is FailoverEffect.Resume -> scope.launch { resume(effect) }
             is FailoverEffect.Promote -> scope.launch { promote(effect) }
             is FailoverEffect.Designate -> scope.launch { designate(effect) }
             is FailoverEffect.StopPrimary -> scope.launch { stopPrimary(effect) }
@@ -102,6 +110,21 @@
         offer(FailoverMessage.Surveyed(effect.group, effect.target, status))
     }
 
+    private suspend fun surveyHolder(effect: FailoverEffect.SurveyHolder) {
+        val record = current().directory.records[effect.target]
+        // A leader that was replaced without noticing must not pause anything.
+        val mayAsk = effect.pauseIn == null || control.confirmLeadership().isOk
+        val status = if (mayAsk) record?.let { replicas?.pause(it, effect.pauseIn, SURVEY_TIMEOUT_MILLIS) } else null
+        offer(FailoverMessage.HolderAnswered(effect.group, effect.target, effect.pauseIn, status))
+    }
+
+    private suspend fun resume(effect: FailoverEffect.Resume) {
+        val record = current().directory.records[effect.target]
+        val isDone = record == null || replicas?.resume(record, SURVEY_TIMEOUT_MILLIS) ?: true
+        if (!isDone) delay(RESUME_RETRY_MILLIS)
+        offer(FailoverMessage.Resumed(effect.target, isDone))
+    }
+
     private suspend fun designate(effect: FailoverEffect.Designate) {
         if (isEvacuated(effect.target)) return offer(FailoverMessage.Designated(effect.group, effect.target, designations = null))
         val command = ControlCommand.DesignatePrimary(effect.group, effect.target, effect.expected)
@@ -151,6 +174,9 @@
 
         /** Covers a connect and one request; in ms. */
         const val SURVEY_TIMEOUT_MILLIS = 350L
+
+        /** Delay after which a replica that did not confirm that it receives commits is asked again; in ms. */
+        const val RESUME_RETRY_MILLIS = 1_000L
         val logger = KotlinLogging.logger {}
     }
 }
--- a/daemon/src/main/kotlin/org/buckthornhub/daemon/ControlVmAssembly.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/daemon/ControlVmAssembly.kt
@@ -25,6 +25,7 @@
 import org.buckthornhub.failover.InstancePromoter
 import org.buckthornhub.failover.InstanceSurvey
 import org.buckthornhub.failover.PrimaryStopper
+import org.buckthornhub.failover.ReplicaControl
 import org.buckthornhub.fleet.VmId
 import org.buckthornhub.http.HttpLink
 import org.buckthornhub.http.HttpServer
@@ -37,6 +38,7 @@
 import org.buckthornhub.replication.ReplicationSettings
 import org.buckthornhub.replication.ReplicationState
 import org.buckthornhub.replication.RunId
+import org.buckthornhub.routetable.review.RouteTableReader
 import java.io.File
 import java.util.UUID
 
@@ -46,6 +48,8 @@
     survey: InstanceSurvey,
     orders: InstancePromoter,
     stopper: PrimaryStopper,
+    replicas: ReplicaControl,
+    reader: RouteTableReader,
     links: HttpLink.Factory,
     private val clock: Clock,
 ) {
@@ -55,7 +59,7 @@
     }
     private val control: ControlTask = openControl()
     private val failover = FailoverSettings(isFencedByPlatform = settings.isFencedByPlatform)
-    private val coordinator = CoordinatorTask(settings.vm, control, survey, orders, stopper, failover, clock)
+    private val coordinator = CoordinatorTask(settings.vm, control, survey, orders, stopper, failover, clock, replicas, reader)
     private val leaderClient = LeaderControlClient(control.leadership, { "${it.value}:${settings.port}" }, links)
 
     /** Accepts route tables from operators on any control VM and forwards them to the leader. */
--- a/daemon/src/test/kotlin/org/buckthornhub/connection/FakeLink.kt
+++ b/daemon/src/test/kotlin/org/buckthornhub/connection/FakeLink.kt
@@ -43,7 +43,8 @@
             Ok(ended())
         }
         is TargetStatement.Setup -> Ok(setup(statement.step))
-        is TargetStatement.StepDown, is TargetStatement.Status -> Ok(completed(emptyList()))
+        is TargetStatement.StepDown, is TargetStatement.Pause, is TargetStatement.Resume, is TargetStatement.Status ->
+            Ok(completed(emptyList()))
     }
 
     override fun close() {
