Store and send a route table in the size of its configuration

Cause: RouteTable kept its index of keys as a property with a value of its own, which kotlinx.serialization encodes like a field.

Ruled out: the heap by itself (300 keys end no process, and are not acknowledged either); the repeated orders (one is enough); other serialized types (none has such a property).

Change: the index is derived on first use. Records that hold it are still read.

--- a/core/src/main/kotlin/org/buckthornhub/replication/EntryContent.kt
+++ b/core/src/main/kotlin/org/buckthornhub/replication/EntryContent.kt
@@ -15,7 +15,7 @@
     @SerialName("command")
     public data class Command(val command: ControlCommand) : EntryContent {
         override val chars: Int
-            get() = SMALL_CHARS + ((command as? ControlCommand.ReplaceRouteTable)?.stored?.document?.length ?: 0) * COPIES_OF_DOCUMENT
+            get() = SMALL_CHARS + ((command as? ControlCommand.ReplaceRouteTable)?.stored?.chars ?: 0)
     }
 
     /**
@@ -30,8 +30,5 @@
 
     public companion object {
         private const val SMALL_CHARS = 500
-
-        /** A route table is stored as the operator sent it, with escapes, and in its parsed form. */
-        private const val COPIES_OF_DOCUMENT = 3
     }
 }
--- a/core/src/main/kotlin/org/buckthornhub/replication/LeaderReplication.kt
+++ b/core/src/main/kotlin/org/buckthornhub/replication/LeaderReplication.kt
@@ -6,6 +6,13 @@
 internal object LeaderReplication {
     private const val STEP_DOWN_ELECTION_TIMEOUTS = 2
 
+    /** Size from which a message is not repeated while it may still be on its way, in characters. */
+    private const val LARGE_CHARS = 100_000L
+
+    /** Time that a large message may take: at least, and for its size, as a member reads and syncs it. */
+    private const val MIN_TRANSFER_MILLIS = 400L
+    private const val TRANSFER_CHARS_PER_MILLISECOND = 2_000L
+
     fun begin(start: Step, nowMillis: Long): Step {
         val state = start.state
         val next = state.log.lastIndex + 1
@@ -42,20 +49,24 @@
             )
         }
         val leader = step.state.role as? Role.Leader ?: return step
-        return LogCommitter.advance(leader.followers.keys.fold(step) { s, member -> sendTo(s, member) })
+        return LogCommitter.advance(leader.followers.keys.fold(step) { s, member -> sendTo(s, member, nowMillis) })
     }
 
-    fun sendTo(step: Step, member: Member): Step {
+    fun sendTo(step: Step, member: Member, nowMillis: Long): Step {
         val state = step.state
         val leader = state.role as? Role.Leader ?: return step
         val progress = leader.followers[member] ?: return step
         val log = state.log
         val previous = progress.nextIndex - 1
         val previousTerm = log.termAt(previous)
+        val isOnItsWay = progress.sentIndex >= progress.nextIndex && nowMillis < progress.sentUntilMillis
         if (previousTerm == null) {
-            return step.send(member, PeerMessage.Install(state.self, state.durable.term, leader.round, log.snapshot))
+            if (isOnItsWay) return step
+            val install = PeerMessage.Install(state.self, state.durable.term, leader.round, log.snapshot)
+            return noteSent(step.send(member, install), member, log.snapshot.index, install.chars, nowMillis)
         }
-        val entries = log.entriesFrom(progress.nextIndex, state.settings.batchLimit, state.settings.batchChars)
+        val entries =
+            if (isOnItsWay) emptyList() else log.entriesFrom(progress.nextIndex, state.settings.batchLimit, state.settings.batchChars)
         val message =
             PeerMessage.Append(
                 from = state.self,
@@ -68,7 +79,17 @@
                 confirmedEcho = progress.confirmedEcho?.millis,
                 confirmedRun = progress.confirmedEcho?.run,
             )
-        return step.send(member, message)
+        return noteSent(step.send(member, message), member, previous + entries.size, message.chars, nowMillis)
+    }
+
+    // Sent again with each heartbeat, a large message would take the memory and the time of both members several times over.
+    private fun noteSent(step: Step, member: Member, lastIndex: Long, chars: Long, nowMillis: Long): Step {
+        if (chars < LARGE_CHARS) return step
+        val untilMillis = nowMillis + MIN_TRANSFER_MILLIS + chars / TRANSFER_CHARS_PER_MILLISECOND
+        return step.updateLeader {
+            val progress = followers[member] ?: return@updateLeader this
+            copy(followers = followers.put(member, progress.copy(sentIndex = lastIndex, sentUntilMillis = untilMillis)))
+        }
     }
 
     fun onAppendAnswer(start: Step, message: PeerMessage.AppendAnswer, nowMillis: Long): Step {
@@ -78,7 +99,7 @@
         val step = start.updateLeader { copy(followers = followers.put(message.from, next)) }
         val committed = Membership.reconfigure(announceCommit(LogCommitter.advance(step), nowMillis, start), nowMillis)
         val hasMore = next.nextIndex <= start.state.log.lastIndex && next.nextIndex != progress.nextIndex
-        return if (hasMore) sendTo(committed, message.from) else committed
+        return if (hasMore) sendTo(committed, message.from, nowMillis) else committed
     }
 
     // Followers serve the control feed of daemons, so a new commit index is broadcast immediately, not with the next heartbeat.
@@ -92,6 +113,7 @@
         if (!message.isMatched) {
             return updated.copy(
                 nextIndex = maxOf(progress.matchIndex + 1, minOf(progress.nextIndex - 1, message.index + 1)),
+                sentIndex = 0,
             )
         }
         val match = maxOf(progress.matchIndex, message.index)
--- a/core/src/main/kotlin/org/buckthornhub/replication/LogCommitter.kt
+++ b/core/src/main/kotlin/org/buckthornhub/replication/LogCommitter.kt
@@ -35,7 +35,10 @@
     private fun compact(step: Step): Step {
         val state = step.state
         val log = state.log
-        if (state.commitIndex - log.snapshot.index < state.settings.compactAfter) return step
+        val applied = state.commitIndex - log.snapshot.index
+        val isDue = applied >= state.settings.compactAfter ||
+            log.entries.take(applied.toInt()).sumOf { it.content.chars.toLong() } >= state.settings.compactAfterChars
+        if (!isDue) return step
         val term = checkNotNull(log.termAt(state.commitIndex)) { "the last committed entry is not in the log" }
         val snapshot = Snapshot(state.commitIndex, term, log.membersAt(state.commitIndex), state.machine)
         return step.updateDurable { copy(log = log.compact(snapshot)) }
--- a/core/src/main/kotlin/org/buckthornhub/replication/PeerMessage.kt
+++ b/core/src/main/kotlin/org/buckthornhub/replication/PeerMessage.kt
@@ -9,6 +9,9 @@
 public sealed interface PeerMessage {
     public val from: Member
 
+    /** Approximate size of the encoded entries or snapshot, in characters; 0 for other messages. */
+    public val chars: Long get() = 0
+
     /** Discovery request. [round] is returned in the answer, so that late answers can be recognised. */
     @Serializable
     @SerialName("hello")
@@ -73,7 +76,9 @@
         val commitIndex: Long,
         val confirmedEcho: Long? = null,
         val confirmedRun: RunId? = null,
-    ) : PeerMessage
+    ) : PeerMessage {
+        override val chars: Long get() = entries.sumOf { it.content.chars.toLong() }
+    }
 
     /** Snapshot of the leader, for a member that lacks entries that have already been compacted. */
     @Serializable
@@ -83,7 +88,9 @@
         val term: Long,
         val round: Long,
         val snapshot: Snapshot,
-    ) : PeerMessage
+    ) : PeerMessage {
+        override val chars: Long get() = snapshot.chars
+    }
 
     /**
      * Answer to [Append] and [Install].
--- a/core/src/main/kotlin/org/buckthornhub/replication/Progress.kt
+++ b/core/src/main/kotlin/org/buckthornhub/replication/Progress.kt
@@ -10,6 +10,7 @@
  * @property zone its availability zone; null if it has not told it
  * @property echo echo of the follower that awaits confirmation, or the newest one if it has been confirmed
  * @property echoRound first broadcast after [echo] was received
+ * @property sentIndex last entry of a large message that may still be on its way until [sentUntilMillis] (local monotonic ms)
  * @property confirmedEcho newest echo after which a majority confirmed the leader
  */
 public data class Progress(
@@ -22,4 +23,6 @@
     val echo: Echo? = null,
     val echoRound: Long = 0,
     val confirmedEcho: Echo? = null,
+    val sentIndex: Long = 0,
+    val sentUntilMillis: Long = 0,
 )
--- a/core/src/main/kotlin/org/buckthornhub/replication/Proposals.kt
+++ b/core/src/main/kotlin/org/buckthornhub/replication/Proposals.kt
@@ -10,10 +10,22 @@
     fun propose(start: Step, message: ReplicationMessage.Propose): Step {
         val leader = start.state.role as? Role.Leader
             ?: return start.emit(ReplicationEffect.AnswerProposal(message.token, Err(notLeaderError(start.state))))
+        if (isFull(start.state, leader, message)) {
+            val error = ProxyError(ErrorKind.NO_QUORUM, "as many commands wait for a majority as this VM has memory for")
+            return start.emit(ReplicationEffect.AnswerProposal(message.token, Err(error)))
+        }
         val step = start.updateLeader { copy(queuedProposals = queuedProposals.add(message)) }
         return if (leader.queuedProposals.isEmpty()) step.emit(ReplicationEffect.ScheduleFlush) else step
     }
 
+    // Without a majority the log would grow until the memory of the process is used up.
+    private fun isFull(state: ReplicationState, leader: Role.Leader, message: ReplicationMessage.Propose): Boolean {
+        val appended = state.log.entries.drop((state.commitIndex - state.log.snapshot.index).toInt()).map { it.content }
+        val pending = appended + leader.queuedProposals.map { EntryContent.Command(it.command) }
+        if (pending.isEmpty()) return false
+        return pending.sumOf { it.chars.toLong() } + EntryContent.Command(message.command).chars > state.settings.maxPendingChars
+    }
+
     fun flush(start: Step, nowMillis: Long): Step {
         val leader = start.state.role as? Role.Leader ?: return start
         if (leader.queuedProposals.isEmpty()) return start
--- a/core/src/main/kotlin/org/buckthornhub/replication/ReplicationSettings.kt
+++ b/core/src/main/kotlin/org/buckthornhub/replication/ReplicationSettings.kt
@@ -13,6 +13,8 @@
  * @property zone availability zone of this VM; where it is given, standby VMs take the places of members so that zones share few
  * @property electionMillis minimum election timeout; the actual one is chosen at random between this and twice this
  * @property compactAfter number of applied entries after which the log is compacted into a snapshot
+ * @property compactAfterChars approximate size of applied entries after which the log is compacted, in characters
+ * @property maxPendingChars approximate size of the entries that may wait for a majority, in characters; a single one may be larger
  * @property batchLimit maximum number of entries in one message
  * @property batchChars approximate size of a message with several entries, below what a member accepts
  */
@@ -26,6 +28,8 @@
     val heartbeatMillis: Long = 100,
     val electionMillis: Long = 400,
     val compactAfter: Int = 256,
+    val compactAfterChars: Int = 1_000_000,
+    val maxPendingChars: Int = 4_000_000,
     val batchLimit: Int = 128,
     val batchChars: Int = 1_000_000,
 )
--- a/core/src/main/kotlin/org/buckthornhub/replication/Snapshot.kt
+++ b/core/src/main/kotlin/org/buckthornhub/replication/Snapshot.kt
@@ -10,4 +10,7 @@
     val term: Long = 0,
     val members: Set<Member> = emptySet(),
     val machine: MachineState = MachineState(),
-)
+) {
+    /** Approximate size of the encoded snapshot without small parts, in characters. */
+    internal val chars: Long get() = machine.control.routeTable?.chars?.toLong() ?: 0
+}
--- a/core/src/main/kotlin/org/buckthornhub/routetable/RouteTable.kt
+++ b/core/src/main/kotlin/org/buckthornhub/routetable/RouteTable.kt
@@ -19,8 +19,10 @@
     val organisations: Map<OrganisationId, OrganisationAccess> = emptyMap(),
     val transactionIdleMillis: Long = DEFAULT_TRANSACTION_IDLE_MILLIS,
 ) {
-    private val holders: Map<KeyDigest, OrganisationAccess> =
+    // A property with a value of its own would be a part of the encoded table: each key with all keys of its organisation.
+    private val holders: Map<KeyDigest, OrganisationAccess> by lazy(LazyThreadSafetyMode.PUBLICATION) {
         organisations.values.flatMap { access -> access.keys.map { it to access } }.toMap()
+    }
 
     /** Returns the organisation whose key has [digest]; null if there is none. */
     public fun holderOf(digest: KeyDigest): OrganisationAccess? = holders[digest]
--- /dev/null
+++ b/daemon/src/main/kotlin/org/buckthornhub/control/DocumentBudgetTask.kt
@@ -0,0 +1,39 @@
+package org.buckthornhub.control
+
+import kotlinx.coroutines.CompletableDeferred
+import org.buckthornhub.task.Task
+
+/**
+ * Limits the documents that are handled at the same time by their size. A parsed document takes many times its size, so several large
+ * ones at once would use up the memory of the process.
+ *
+ * @param budgetChars size of the documents that are handled together; a single one may be larger
+ */
+internal class DocumentBudgetTask(private val budgetChars: Int = DEFAULT_BUDGET_CHARS) : Task<DocumentBudgetMessage>("document-budget") {
+    private var admittedChars = 0L
+
+    /** Runs [action] for a document of [chars] while it is counted; returns null, without running it, if there is no room. */
+    suspend fun <T : Any> within(chars: Int, action: suspend () -> T): T? {
+        val answer = CompletableDeferred<Boolean>()
+        if (!offer(DocumentBudgetMessage.Admit(chars, answer)) || !answer.await()) return null
+        return try {
+            action()
+        } finally {
+            offer(DocumentBudgetMessage.Release(chars))
+        }
+    }
+
+    override suspend fun handle(message: DocumentBudgetMessage): Unit = when (message) {
+        is DocumentBudgetMessage.Admit -> {
+            val isAdmitted = admittedChars == 0L || admittedChars + message.chars <= budgetChars
+            // The caller may have been cancelled while it waited; then nobody releases the document.
+            if (message.answer.complete(isAdmitted) && isAdmitted) admittedChars += message.chars else Unit
+        }
+        is DocumentBudgetMessage.Release -> admittedChars -= message.chars
+    }
+
+    private companion object {
+        /** One document of the largest size that operators send, or many of the usual size. */
+        const val DEFAULT_BUDGET_CHARS = 400_000
+    }
+}
--- a/daemon/src/main/kotlin/org/buckthornhub/control/FolderStorage.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/control/FolderStorage.kt
@@ -14,6 +14,7 @@
 import org.buckthornhub.replication.DurableRecord
 import org.buckthornhub.replication.DurableRecords
 import org.buckthornhub.replication.Member
+import java.io.ByteArrayOutputStream
 import java.io.File
 import java.util.UUID
 
@@ -27,7 +28,8 @@
         files.syncFolder()
     }
 
-    private fun encode(records: List<DurableRecord>): ByteArray = records.joinToString("") { RecordLine.encode(it) }.toByteArray()
+    private fun encode(records: List<DurableRecord>): ByteArray =
+        ByteArrayOutputStream().also { out -> records.forEach { RecordLine.write(it, out) } }.toByteArray()
 
     internal companion object {
         const val FORMAT = 1
--- a/daemon/src/main/kotlin/org/buckthornhub/control/RouteTableResult.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/control/RouteTableResult.kt
@@ -2,8 +2,11 @@
 
 /** Result of an operator's request about the route table. */
 public sealed interface RouteTableResult {
-    /** The table, or a newer one, is committed and durable on a majority. */
-    public data object Accepted : RouteTableResult
+    /** The table of [version], or a newer one, is committed and durable on a majority. */
+    public data class Accepted(val version: Long) : RouteTableResult
+
+    /** The document is invalid, for all the reasons in [errors], and changes nothing. */
+    public data class Invalid(val errors: List<String>) : RouteTableResult
 
     /**
      * The current table.
--- a/daemon/src/main/kotlin/org/buckthornhub/coordination/CoordinatorTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/coordination/CoordinatorTask.kt
@@ -27,7 +27,7 @@
 import org.buckthornhub.failover.PromotionOutcome
 import org.buckthornhub.failover.ReplicaControl
 import org.buckthornhub.fleet.VmId
-import org.buckthornhub.routetable.review.RouteTableReader
+import org.buckthornhub.routetable.RouteTableParser
 import org.buckthornhub.target.TargetId
 import org.buckthornhub.task.DeciderTask
 
@@ -41,7 +41,7 @@
     settings: FailoverSettings,
     clock: Clock,
     private val replicas: ReplicaControl? = null,
-    reader: RouteTableReader? = null,
+    parser: RouteTableParser? = null,
 ) : DeciderTask<CoordinatorState, CoordinatorMessage, FailoverEffect>(
     "coordinator",
     CoordinatorDecider(FailoverDecider(settings)),
@@ -50,7 +50,7 @@
 ) {
     private val latest = MutableStateFlow(current())
     private val refused = RefusedAnnouncementLog(clock)
-    private val syncReplicas = SyncReplicas(reader)
+    private val syncReplicas = SyncReplicas(parser)
     private lateinit var scope: CoroutineScope
 
     /** Emits after each handled message. */
--- a/daemon/src/main/kotlin/org/buckthornhub/coordination/ReportRoutes.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/coordination/ReportRoutes.kt
@@ -42,7 +42,7 @@
                 coordinator.offer(CoordinatorMessage.Reported(withKnownClock(report)))
                 awaitUpdate(report)
             }
-            HttpReply(status = 200, body = encode(report, replyTo(report, receivedMillis)))
+            encode(report, replyTo(report, receivedMillis))
         }
     }
 
@@ -69,10 +69,11 @@
         )
     }
 
-    private fun encode(report: ProxyReport, answer: ProxyReportAnswer): String {
+    private fun encode(report: ProxyReport, answer: ProxyReportAnswer): HttpReply {
         val table = control.state.current().routeTable?.table
             ?.takeIf { it.version > report.tableVersion && it.version == answer.tableVersion }
-        return tables.splice(PeerJson.encodeToString(ProxyReportAnswer.serializer(), answer), table)
+        val text = PeerJson.encodeToString(ProxyReportAnswer.serializer(), answer)
+        return if (table == null) HttpReply(OK, text) else HttpReply(OK, text.drop(1), head = tables.headOf(table))
     }
 
     private fun isDirectoryNew(report: ProxyReport): Boolean = report.controlTerm != control.leadership.current().controlTerm ||
@@ -108,5 +109,6 @@
     private companion object {
         /** Bounds the age of limits and confirmations while nothing changes; in ms. */
         const val MAX_HOLD_MILLIS = 400L
+        const val OK = 200
     }
 }
--- a/daemon/src/main/kotlin/org/buckthornhub/coordination/SyncReplicas.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/coordination/SyncReplicas.kt
@@ -1,18 +1,19 @@
 package org.buckthornhub.coordination
 
+import com.github.michaelbull.result.get
 import org.buckthornhub.group.GroupId
 import org.buckthornhub.routetable.RouteTable
+import org.buckthornhub.routetable.RouteTableParser
 import org.buckthornhub.routetable.StoredRouteTable
-import org.buckthornhub.routetable.review.RouteTableReader
 
 /**
  * Number of replicas that have received each acknowledged commit, by group.
  *
  * A table that was stored by a version which did not read these numbers is read again from the document of the operator.
  *
- * @param reader reads the document; null if no version of this front end has left them out
+ * @param parser parses the document; null if no version of this front end has left them out
  */
-internal class SyncReplicas(private val reader: RouteTableReader?) {
+internal class SyncReplicas(private val parser: RouteTableParser?) {
     private var version = -1L
     private var counts = emptyMap<GroupId, Int>()
 
@@ -27,6 +28,6 @@
 
     private fun tableOf(stored: StoredRouteTable): RouteTable {
         val isRead = stored.table.groups.values.all { it.syncReplicas != null }
-        return if (isRead) stored.table else reader?.read(stored.document)?.draft?.table ?: stored.table
+        return if (isRead) stored.table else parser?.parse(stored.document)?.get()?.table ?: stored.table
     }
 }
--- a/daemon/src/main/kotlin/org/buckthornhub/daemon/ControlVmAssembly.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/daemon/ControlVmAssembly.kt
@@ -7,6 +7,7 @@
 import org.buckthornhub.control.ControlMessage
 import org.buckthornhub.control.ControlRoutes
 import org.buckthornhub.control.ControlTask
+import org.buckthornhub.control.DocumentBudgetTask
 import org.buckthornhub.control.EvacuationRoutes
 import org.buckthornhub.control.EvacuationService
 import org.buckthornhub.control.FolderStorage
@@ -38,7 +39,7 @@
 import org.buckthornhub.replication.ReplicationSettings
 import org.buckthornhub.replication.ReplicationState
 import org.buckthornhub.replication.RunId
-import org.buckthornhub.routetable.review.RouteTableReader
+import org.buckthornhub.routetable.RouteTableParser
 import java.io.File
 import java.util.UUID
 
@@ -49,7 +50,7 @@
     orders: InstancePromoter,
     stopper: PrimaryStopper,
     replicas: ReplicaControl,
-    reader: RouteTableReader,
+    parser: RouteTableParser,
     links: HttpLink.Factory,
     private val clock: Clock,
 ) {
@@ -59,11 +60,11 @@
     }
     private val control: ControlTask = openControl()
     private val failover = FailoverSettings(isFencedByPlatform = settings.isFencedByPlatform)
-    private val coordinator = CoordinatorTask(settings.vm, control, survey, orders, stopper, failover, clock, replicas, reader)
+    private val coordinator = CoordinatorTask(settings.vm, control, survey, orders, stopper, failover, clock, replicas, parser)
     private val leaderClient = LeaderControlClient(control.leadership, { "${it.value}:${settings.port}" }, links)
 
     /** Accepts route tables from operators on any control VM and forwards them to the leader. */
-    public val routeTables: RouteTableService = RouteTableService(control, leaderClient)
+    public val routeTables: RouteTableService = RouteTableService(control, leaderClient, parser, DocumentBudgetTask())
 
     /** Accepts announcements of instances on any control VM and forwards them to the leader. */
     public val announcements: InstanceAnnouncementService = InstanceAnnouncementService(settings.vm, control, coordinator, leaderClient)
@@ -125,6 +126,7 @@
         control.start(scope)
         coordinator.start(scope)
         reserve.start(scope)
+        routeTables.start(scope)
         reports.start(scope)
         server.start()
     }
--- a/runtime/src/main/kotlin/org/buckthornhub/http/HttpLink.kt
+++ b/runtime/src/main/kotlin/org/buckthornhub/http/HttpLink.kt
@@ -12,6 +12,14 @@
         headers: Map<String, String> = emptyMap(),
     ): Result<HttpReply, HttpFailure>
 
+    /** Posts [body] as JSON, compressed if the peer accepts that, and waits up to [timeoutMillis] for the complete reply. */
+    public suspend fun post(
+        path: String,
+        body: CompressedBody,
+        timeoutMillis: Long,
+        headers: Map<String, String> = emptyMap(),
+    ): Result<HttpReply, HttpFailure> = post(path, body.text(), timeoutMillis, headers)
+
     /** Gets [path] and waits up to [timeoutMillis] for the complete reply. */
     public suspend fun get(path: String, timeoutMillis: Long, headers: Map<String, String> = emptyMap()): Result<HttpReply, HttpFailure>
 
--- a/runtime/src/main/kotlin/org/buckthornhub/http/HttpServer.kt
+++ b/runtime/src/main/kotlin/org/buckthornhub/http/HttpServer.kt
@@ -13,6 +13,7 @@
 import io.ktor.server.request.path
 import io.ktor.server.request.receiveChannel
 import io.ktor.server.response.header
+import io.ktor.server.response.respond
 import io.ktor.server.response.respondBytes
 import io.ktor.server.response.respondText
 import io.ktor.server.routing.route
@@ -91,11 +92,17 @@
         val status = HttpStatusCode.fromValue(reply.status)
         val isDaemon = call.request.headers[BodyCompression.HEADER] == BodyCompression.GZIP
         if (isDaemon) call.response.header(BodyCompression.HEADER, BodyCompression.GZIP)
-        if (isDaemon && reply.body.length >= BodyCompression.MIN_CHARS) {
-            call.response.header(BodyCompression.ENCODED, BodyCompression.GZIP)
-            call.respondBytes(BodyCompression.compress(reply.body), type, status)
-        } else {
-            call.respondText(reply.body, type, status)
+        val head = reply.head
+        when {
+            isDaemon && head != null -> {
+                call.response.header(BodyCompression.ENCODED, BodyCompression.GZIP)
+                call.respond(ConcatenatedContent(listOf(head.gzip, BodyCompression.compress(reply.body)), type, status))
+            }
+            isDaemon && reply.body.length >= BodyCompression.MIN_CHARS -> {
+                call.response.header(BodyCompression.ENCODED, BodyCompression.GZIP)
+                call.respondBytes(BodyCompression.compress(reply.body), type, status)
+            }
+            else -> call.respondText(head?.text?.invoke().orEmpty() + reply.body, type, status)
         }
     }
 
--- a/runtime/src/main/kotlin/org/buckthornhub/http/RealHttpLink.kt
+++ b/runtime/src/main/kotlin/org/buckthornhub/http/RealHttpLink.kt
@@ -61,6 +61,20 @@
         }
     }
 
+    override suspend fun post(
+        path: String,
+        body: CompressedBody,
+        timeoutMillis: Long,
+        headers: Map<String, String>,
+    ): Result<HttpReply, HttpFailure> {
+        if (!acceptsCompressed.value) return post(path, body.text(), timeoutMillis, headers)
+        return send(HttpMethod.Post, path, timeoutMillis, headers) {
+            contentType(ContentType.Application.Json)
+            header(BodyCompression.ENCODED, BodyCompression.GZIP)
+            setBody(body.gzip)
+        }
+    }
+
     override suspend fun get(path: String, timeoutMillis: Long, headers: Map<String, String>): Result<HttpReply, HttpFailure> =
         send(HttpMethod.Get, path, timeoutMillis, headers) {}
 
