Refuse bytes that are not Unicode text at every way in

Cause: HttpServer decoded bodies with replacement, so that each byte that is no UTF-8 became U+FFFD, and the handler stored another text than was sent. An escape of half a surrogate pair passes the JSON parser, and became a question mark in the digest of a key.

Ruled out: the lines of callers, whose names are converted strictly; the storage, where such a line does not match its checksum.

Change: UnicodeText makes text of bytes without replacement, and tells whether the escapes of JSON stand for characters. Requests whose body or path is no text get 400, replies count as failures, files are not read: settings, identity of a disk, withdrawn keys, lists and logs of the command line. Compressed bodies go the same way. Ids of transactions are decoded strictly, and a key that is no text has no digest. A handler that takes UTF-8 alone from the operator would leave heartbeats, peers and files as they were.

--- a/cli/src/main/kotlin/org/buckthornhub/cli/check/CheckCommand.kt
+++ b/cli/src/main/kotlin/org/buckthornhub/cli/check/CheckCommand.kt
@@ -8,6 +8,7 @@
 import org.buckthornhub.cli.ExitCode
 import org.buckthornhub.http.HttpLinks
 import org.buckthornhub.routetable.review.RouteTableReader
+import org.buckthornhub.text.UnicodeText
 import org.kohsuke.args4j.Argument
 import org.kohsuke.args4j.CmdLineParser
 import org.kohsuke.args4j.Option
@@ -55,7 +56,7 @@
     }
 
     private fun readFile(path: String): Result<String, String> = try {
-        Ok(File(path).readText())
+        Ok(UnicodeText.read(File(path)))
     } catch (e: IOException) {
         Err("$path can't be read: ${e.message}")
     }
--- a/cli/src/main/kotlin/org/buckthornhub/cli/evacuation/EvacuationClient.kt
+++ b/cli/src/main/kotlin/org/buckthornhub/cli/evacuation/EvacuationClient.kt
@@ -11,6 +11,7 @@
 import org.buckthornhub.cli.ExitCode
 import org.buckthornhub.cli.operator.OperatorFailure
 import org.buckthornhub.http.WireJson
+import org.buckthornhub.text.UnicodeText
 import java.io.IOException
 import java.net.URI
 import java.net.URLEncoder
@@ -39,20 +40,21 @@
             .method(action.method, HttpRequest.BodyPublishers.noBody())
             .timeout(TIMEOUT)
             .build()
-        val response = http.sendAsync(request, HttpResponse.BodyHandlers.ofString()).await()
-        if (response.statusCode() in SUCCESS) Ok(response.body()) else Err(failureOf(response))
+        val response = http.sendAsync(request, HttpResponse.BodyHandlers.ofByteArray()).await()
+        val body = UnicodeText.decode(response.body()) ?: throw IOException("the answer is not UTF-8")
+        if (response.statusCode() in SUCCESS) Ok(body) else Err(failureOf(response.statusCode(), body))
     } catch (e: IOException) {
         Err(OperatorFailure(ExitCode.UNREACHABLE, "$controlVm can't be reached: $e", isOutcomeUnknown = true))
     } catch (e: IllegalArgumentException) {
         Err(OperatorFailure(ExitCode.USAGE, "$controlVm is no address of a control VM: ${e.message}"))
     }
 
-    private fun failureOf(response: HttpResponse<String>): OperatorFailure = try {
-        val error = WireJson.decodeFromString(ErrorBody.serializer(), response.body())
+    private fun failureOf(status: Int, body: String): OperatorFailure = try {
+        val error = WireJson.decodeFromString(ErrorBody.serializer(), body)
         val detail = "${error.kind}: ${error.detail}. ${error.advice}"
-        OperatorFailure(ExitCode.REFUSED, detail, isOutcomeUnknown = response.statusCode() == UNAVAILABLE, response.body())
+        OperatorFailure(ExitCode.REFUSED, detail, isOutcomeUnknown = status == UNAVAILABLE, body)
     } catch (e: SerializationException) {
-        OperatorFailure(ExitCode.REFUSED, "status ${response.statusCode()}; is this a control VM of a deployment with evacuations?")
+        OperatorFailure(ExitCode.REFUSED, "status $status; is this a control VM of a deployment with evacuations?")
     }
 
     private companion object {
--- a/cli/src/main/kotlin/org/buckthornhub/cli/explain/ExplainCommand.kt
+++ b/cli/src/main/kotlin/org/buckthornhub/cli/explain/ExplainCommand.kt
@@ -6,12 +6,16 @@
 import org.buckthornhub.cli.explain.log.LogFile
 import org.buckthornhub.cli.operator.OperatorCommand
 import org.buckthornhub.explain.ExplainAnswer
+import org.buckthornhub.text.UnicodeText
 import org.kohsuke.args4j.Argument
 import org.kohsuke.args4j.Option
 import java.io.File
 import java.io.IOException
 import java.net.URLEncoder
 
+/** Stands for a line that is no text, and is none of a log. */
+private const val NO_TEXT = "?"
+
 /** `buckthornhub explain`: shows the routing and errors of requests and the events of a group, from a daemon or from saved logs. */
 internal class ExplainCommand : OperatorCommand() {
     @Option(name = "--trace", metaVar = "ID", usage = "trace id from the answer to the request")
@@ -48,7 +52,8 @@
     private fun explain(file: File): Int {
         val id = request ?: return usageError("name the request: explain --log FILE ID")
         val lines = try {
-            file.readLines()
+            // A line that is not UTF-8, such as one that was cut, is counted as skipped.
+            file.readLines(Charsets.ISO_8859_1).map { UnicodeText.decode(it.toByteArray(Charsets.ISO_8859_1)) ?: NO_TEXT }
         } catch (e: IOException) {
             return usageError("$file can't be read: ${e.message}")
         }
--- a/cli/src/main/kotlin/org/buckthornhub/cli/load/LoadPlanReader.kt
+++ b/cli/src/main/kotlin/org/buckthornhub/cli/load/LoadPlanReader.kt
@@ -6,6 +6,7 @@
 import org.buckthornhub.load.run.LoadPlan
 import org.buckthornhub.load.run.StandinAddress
 import org.buckthornhub.load.session.SessionPlan
+import org.buckthornhub.text.UnicodeText
 import java.io.File
 
 /** Builds the [LoadPlan] from the options of [LoadCommand]; throws an [IllegalArgumentException] that names an invalid option. */
@@ -22,7 +23,7 @@
         rights = pairs("--rights", options.rights).map { (organisation, text) -> rightOf(organisation, text) },
         clientDelayMillis = options.clientDelayMillis,
         standIns = list(options.standIns).map { standInOf(it) },
-        faults = options.faults?.let { WireJson.decodeFromString<List<FaultOrder>>(File(it).readText()) }.orEmpty(),
+        faults = options.faults?.let { WireJson.decodeFromString<List<FaultOrder>>(UnicodeText.read(File(it))) }.orEmpty(),
         direct = options.direct,
     )
 
--- a/cli/src/main/kotlin/org/buckthornhub/cli/operator/ListFile.kt
+++ b/cli/src/main/kotlin/org/buckthornhub/cli/operator/ListFile.kt
@@ -18,13 +18,14 @@
 import net.peanuuutz.tomlkt.TomlLiteral
 import net.peanuuutz.tomlkt.TomlTable
 import org.buckthornhub.http.WireJson
+import org.buckthornhub.text.UnicodeText
 import java.io.File
 import java.io.IOException
 
 /** Reads and writes lists of plans or grants in files: JSON if the name ends in `.json`, else TOML. */
 internal object ListFile {
     fun <T> read(path: String, serializer: KSerializer<T>): Result<T, String> = try {
-        val text = File(path).readText()
+        val text = UnicodeText.read(File(path))
         Ok(if (path.endsWith(".json")) WireJson.decodeFromString(serializer, text) else Toml.decodeFromString(serializer, text))
     } catch (e: IOException) {
         Err("$path can't be read: ${e.message}")
--- a/core/src/main/kotlin/org/buckthornhub/organisation/KeyDigest.kt
+++ b/core/src/main/kotlin/org/buckthornhub/organisation/KeyDigest.kt
@@ -10,8 +10,15 @@
 @JvmInline
 public value class KeyDigest(public val hex: String) {
     public companion object {
+        /** Throws an [IllegalArgumentException] if [key] is no Unicode text, so that no bytes stand for it. */
         public fun of(key: ApiKey): KeyDigest {
-            val bytes = MessageDigest.getInstance("SHA-256").digest(key.secret.toByteArray())
+            val text =
+                try {
+                    key.secret.encodeToByteArray(throwOnInvalidSequence = true)
+                } catch (e: CharacterCodingException) {
+                    throw IllegalArgumentException("a key is no Unicode text", e)
+                }
+            val bytes = MessageDigest.getInstance("SHA-256").digest(text)
             return KeyDigest(HexFormat.of().formatHex(bytes))
         }
     }
--- a/core/src/main/kotlin/org/buckthornhub/target/TransactionRoute.kt
+++ b/core/src/main/kotlin/org/buckthornhub/target/TransactionRoute.kt
@@ -27,9 +27,11 @@
         public fun of(id: TransactionId): TransactionRoute? {
             val parts =
                 try {
-                    Base64.getUrlDecoder().decode(id.value).decodeToString().split(SEPARATOR)
+                    Base64.getUrlDecoder().decode(id.value).decodeToString(throwOnInvalidSequence = true).split(SEPARATOR)
                 } catch (e: IllegalArgumentException) {
                     return null
+                } catch (e: CharacterCodingException) {
+                    return null
                 }
             return if (parts.size == PARTS) TransactionRoute(parts[0], TargetId(parts[1]), VmId(parts[2])) else null
         }
--- a/daemon/src/main/kotlin/org/buckthornhub/control/ControlAssembly.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/control/ControlAssembly.kt
@@ -24,6 +24,7 @@
 import org.buckthornhub.replication.RunId
 import org.buckthornhub.settings.Settings
 import org.buckthornhub.task.Mailbox
+import org.buckthornhub.text.UnicodeText
 import java.io.File
 import java.util.UUID
 
@@ -96,7 +97,7 @@
         if (control.members.isNotEmpty()) return FeedState(orderedSourcesOf(settings).toPersistentList())
         val path = settings.initialConfiguration
         val configuration =
-            if (path == null) Configuration() else PeerJson.decodeFromString(Configuration.serializer(), File(path).readText())
+            if (path == null) Configuration() else PeerJson.decodeFromString(Configuration.serializer(), UnicodeText.read(File(path)))
         return FeedState(view = ReplicatedView(ControlState(configuration), clock.nowMillis()), configuration = configuration)
     }
 
--- a/daemon/src/main/kotlin/org/buckthornhub/control/FolderStorage.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/control/FolderStorage.kt
@@ -14,6 +14,7 @@
 import org.buckthornhub.replication.DurableRecord
 import org.buckthornhub.replication.DurableRecords
 import org.buckthornhub.replication.Member
+import org.buckthornhub.text.UnicodeText
 import java.io.ByteArrayOutputStream
 import java.io.File
 import java.util.UUID
@@ -58,7 +59,8 @@
         private fun readMark(files: DataFiles): Result<FolderMark?, StorageError> {
             val bytes = files.read(MARK) ?: return Ok(null)
             return try {
-                Ok(PeerJson.decodeFromString(FolderMark.serializer(), bytes.decodeToString()))
+                val text = UnicodeText.decode(bytes) ?: return fail("$MARK in $files is damaged: it is not UTF-8")
+                Ok(PeerJson.decodeFromString(FolderMark.serializer(), text))
             } catch (e: IllegalArgumentException) {
                 fail("$MARK in $files is damaged: ${e.message.orEmpty().lineSequence().first()}")
             }
@@ -77,6 +79,7 @@
 
         private fun recover(files: DataFiles, owner: Member, bytes: ByteArray): Result<OpenedStorage, StorageError> {
             val length = bytes.lastIndexOf(LINE_END) + 1
+            // What is not UTF-8 does not match the checksum of its line.
             val lines = bytes.decodeToString(endIndex = length).lineSequence().toList().dropLast(1)
             val records = lines.map { RecordLine.decode(it) }
             val damaged = records.indexOf(null)
--- a/daemon/src/main/kotlin/org/buckthornhub/control/WithdrawnKeysFile.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/control/WithdrawnKeysFile.kt
@@ -9,7 +9,7 @@
 internal class WithdrawnKeysFile(private val folder: File?) {
     fun load(): Set<String> {
         val bytes = folder?.let { FolderDataFiles(it.toPath()) }?.read(NAME) ?: return emptySet()
-        return PeerJson.decodeFromString(serializer, bytes.decodeToString())
+        return PeerJson.decodeFromString(serializer, bytes.decodeToString(throwOnInvalidSequence = true))
     }
 
     fun save(keyNames: Set<String>) {
--- a/daemon/src/main/kotlin/org/buckthornhub/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/daemon/Main.kt
@@ -11,6 +11,7 @@
 import org.buckthornhub.settings.Settings
 import org.buckthornhub.settings.SettingsLoader
 import org.buckthornhub.shutdown.StopSignal
+import org.buckthornhub.text.UnicodeText
 import org.kohsuke.args4j.CmdLineException
 import org.kohsuke.args4j.CmdLineParser
 import java.io.File
@@ -51,7 +52,7 @@
 private fun load(path: String): Settings {
     val text =
         try {
-            File(path).readText()
+            UnicodeText.read(File(path))
         } catch (e: IOException) {
             System.err.println("buckthornhubd: $path can't be read: ${e.message}")
             exitProcess(EXIT_USAGE)
--- a/runtime/src/main/kotlin/org/buckthornhub/http/BodyCompression.kt
+++ b/runtime/src/main/kotlin/org/buckthornhub/http/BodyCompression.kt
@@ -30,10 +30,10 @@
         return bytes.toByteArray()
     }
 
-    /** Returns the text, or null if [bytes] are damaged or the text has more than [maxBytes]. */
-    fun expand(bytes: ByteArray, maxBytes: Long): String? = try {
+    /** Returns the bytes of the text, or null if [bytes] are damaged or the text has more than [maxBytes]. */
+    fun expand(bytes: ByteArray, maxBytes: Long): ByteArray? = try {
         val text = GZIPInputStream(ByteArrayInputStream(bytes)).use { it.readNBytes((maxBytes + 1).toInt()) }
-        if (text.size > maxBytes) null else text.decodeToString()
+        text.takeIf { it.size <= maxBytes }
     } catch (e: IOException) {
         logger.debug { "a compressed body is damaged: ${e.message}" }
         null
--- a/runtime/src/main/kotlin/org/buckthornhub/http/HttpServer.kt
+++ b/runtime/src/main/kotlin/org/buckthornhub/http/HttpServer.kt
@@ -12,6 +12,7 @@
 import io.ktor.server.request.httpMethod
 import io.ktor.server.request.path
 import io.ktor.server.request.receiveChannel
+import io.ktor.server.request.uri
 import io.ktor.server.response.header
 import io.ktor.server.response.respond
 import io.ktor.server.response.respondBytes
@@ -24,6 +25,7 @@
 import kotlinx.io.readByteArray
 import org.buckthornhub.overload.AcceptGate
 import org.buckthornhub.overload.ConnectionGuard
+import org.buckthornhub.text.UnicodeText
 
 /**
  * HTTP server on non-blocking I/O.
@@ -32,6 +34,7 @@
  * @param otherPorts additional ports on [host] that serve the same routes
  * @param maxBodyBytes limit on request bodies; a larger one gets [tooLarge], by default with status 413
  * @param guard limits what the connections hold; null for a server that only trusted peers reach
+ * @param noText reply to a request whose path or body is no Unicode text in UTF-8
  * @param onFault reply if a handler throws; it contains no stack trace
  */
 public class HttpServer(
@@ -41,6 +44,7 @@
     private val maxBodyBytes: Long = DEFAULT_MAX_BODY_BYTES,
     private val tooLarge: HttpReply = HttpReply(PAYLOAD_TOO_LARGE, "{}"),
     private val onFault: HttpReply = HttpReply(SERVER_ERROR, "{}"),
+    private val noText: HttpReply = HttpReply(BAD_REQUEST, "{}"),
     otherPorts: List<Int> = emptyList(),
     guard: ConnectionGuard? = null,
 ) {
@@ -80,7 +84,7 @@
         val bytes = call.receiveChannel().readRemaining(maxBodyBytes + 1).readByteArray()
         val reply =
             try {
-                if (bytes.size > maxBodyBytes) tooLarge else bodyOf(call, bytes)?.let { handler.handle(requestOf(call, it)) } ?: tooLarge
+                if (bytes.size > maxBodyBytes) tooLarge else expand(call, bytes)?.let { replyTo(call, it, handler) } ?: tooLarge
             } catch (e: CancellationException) {
                 throw e // The caller disconnected or the server is stopping, so this is no error of the handler.
             } catch (e: RuntimeException) {
@@ -106,9 +110,16 @@
         }
     }
 
-    private fun bodyOf(call: ApplicationCall, bytes: ByteArray): String? {
+    private fun expand(call: ApplicationCall, bytes: ByteArray): ByteArray? {
         val isCompressed = call.request.headers[BodyCompression.ENCODED] == BodyCompression.GZIP
-        return if (isCompressed) BodyCompression.expand(bytes, maxBodyBytes) else bytes.decodeToString()
+        return if (isCompressed) BodyCompression.expand(bytes, maxBodyBytes) else bytes
+    }
+
+    private suspend fun replyTo(call: ApplicationCall, bytes: ByteArray, handler: RouteHandler): HttpReply {
+        val body = UnicodeText.decode(bytes)?.takeIf { UnicodeText.hasOnlyCharacters(it) }
+        if (body != null && UnicodeText.isUri(call.request.uri)) return handler.handle(requestOf(call, body))
+        logger.info { "a request to ${call.request.path()} was rejected, as its path or body is no Unicode text in UTF-8" }
+        return noText
     }
 
     private fun requestOf(call: ApplicationCall, body: String): HttpRequest = HttpRequest(
@@ -123,6 +134,7 @@
     public companion object {
         /** Default limit on request bodies, in bytes. */
         public const val DEFAULT_MAX_BODY_BYTES: Long = 1_048_576
+        private const val BAD_REQUEST = 400
         private const val PAYLOAD_TOO_LARGE = 413
         private const val SERVER_ERROR = 500
 
--- a/runtime/src/main/kotlin/org/buckthornhub/http/RealHttpLink.kt
+++ b/runtime/src/main/kotlin/org/buckthornhub/http/RealHttpLink.kt
@@ -13,7 +13,6 @@
 import io.ktor.client.request.request
 import io.ktor.client.request.setBody
 import io.ktor.client.statement.bodyAsBytes
-import io.ktor.client.statement.bodyAsText
 import io.ktor.http.ContentType
 import io.ktor.http.HttpMethod
 import io.ktor.http.contentType
@@ -24,6 +23,7 @@
 import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.withTimeout
+import org.buckthornhub.text.UnicodeText
 import java.io.IOException
 import java.net.ConnectException
 import java.nio.channels.UnresolvedAddressException
@@ -127,12 +127,15 @@
         val isCompressed = response.headers[BodyCompression.ENCODED] == BodyCompression.GZIP
         return HttpReply(
             status = response.status.value,
-            body = if (isCompressed) expand(response.bodyAsBytes()) else response.bodyAsText(),
+            body = textOf(if (isCompressed) expand(response.bodyAsBytes()) else response.bodyAsBytes()),
             headers = response.headers.toMap().mapValues { it.value.first() },
         )
     }
 
-    private fun expand(bytes: ByteArray): String =
+    private fun textOf(bytes: ByteArray): String = UnicodeText.decode(bytes)?.takeIf { UnicodeText.hasOnlyCharacters(it) }
+        ?: throw IOException("a body is no Unicode text in UTF-8")
+
+    private fun expand(bytes: ByteArray): ByteArray =
         BodyCompression.expand(bytes, MAX_BODY_BYTES) ?: throw IOException("a compressed body is damaged or too large")
 
     private companion object {
