Wait longer for the end of a report's answer that has begun

A daemon gave up a report after 0.9 s, also while its answer was arriving. A route table of 9,000 keys has 0.3 MB compressed, and takes 1.7 s over a link of 1.4 Mbit/s, so that such a daemon never got it, and asked again and again.

The limit of 0.9 s serves to notice a leader that is gone. A reply that has begun comes from one that is alive, so its end may take 3 s longer; a key may be used for 4.5 s without a new confirmation. Ruled out: a request of its own for the table, as a daemon that gets confirmations beside it would count an older table as confirmed.

--- a/daemon/src/main/kotlin/org/buckthornhub/coordination/ReportTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/coordination/ReportTask.kt
@@ -156,7 +156,14 @@
 
     private suspend fun exchange(source: VmId, link: HttpLink, report: ProxyReport): ReportMessage {
         val sentAt = ClockReading(clock.nowMillis(), clock.wallMillis())
-        return link.postJson(PATH, report, ProxyReport.serializer(), ProxyReportAnswer.serializer(), TIMEOUT_MILLIS).mapBoth(
+        return link.postJson(
+            PATH,
+            report,
+            ProxyReport.serializer(),
+            ProxyReportAnswer.serializer(),
+            TIMEOUT_MILLIS,
+            transferMillis = TRANSFER_MILLIS,
+        ).mapBoth(
             success = { ReportMessage.ReplyReceived(source, sentAt, ClockReading(clock.nowMillis(), clock.wallMillis()), it) },
             failure = { ReportMessage.RequestFailed(source, it) },
         )
@@ -194,6 +201,9 @@
         /** Time that the leader may hold a report open, plus network delay; in ms. */
         private const val TIMEOUT_MILLIS = 900L
 
+        /** Time for a large route table over a slow link; less than keys may be used without a new confirmation. In ms. */
+        private const val TRANSFER_MILLIS = 3_000L
+
         /** Bounded by the wait for a connection under the shortest objectives; in ms. */
         private const val RESERVE_TIMEOUT_MILLIS = 40L
 
--- a/daemon/src/main/kotlin/org/buckthornhub/peer/PostJson.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/peer/PostJson.kt
@@ -8,7 +8,11 @@
 import org.buckthornhub.http.HttpLink
 import org.buckthornhub.http.PeerJson
 
-/** Posts [body] as JSON to another daemon and decodes the reply; fails with a description of the error for a log line. */
+/**
+ * Posts [body] as JSON to another daemon and decodes the reply; fails with a description of the error for a log line.
+ *
+ * @param transferMillis time that a reply which has begun may take in addition
+ */
 internal suspend fun <B, R> HttpLink.postJson(
     path: String,
     body: B,
@@ -16,8 +20,10 @@
     replySerializer: KSerializer<R>,
     timeoutMillis: Long,
     headers: Map<String, String> = emptyMap(),
+    transferMillis: Long = 0,
 ): Result<R, String> {
-    val reply = post(path, PeerJson.encodeToString(bodySerializer, body), timeoutMillis, headers).getOrElse { return Err(it.detail) }
+    val text = PeerJson.encodeToString(bodySerializer, body)
+    val reply = postForLargeReply(path, text, timeoutMillis, transferMillis, headers).getOrElse { return Err(it.detail) }
     if (!reply.isSuccess) return Err("status ${reply.status}")
     return try {
         Ok(PeerJson.decodeFromString(replySerializer, reply.body))
--- a/runtime/src/main/kotlin/org/buckthornhub/http/HttpLink.kt
+++ b/runtime/src/main/kotlin/org/buckthornhub/http/HttpLink.kt
@@ -20,6 +20,15 @@
         headers: Map<String, String> = emptyMap(),
     ): Result<HttpReply, HttpFailure> = post(path, body.text(), timeoutMillis, headers)
 
+    /** Posts [body] as JSON, and waits up to [timeoutMillis] for the reply to begin and up to [transferMillis] longer for its end. */
+    public suspend fun postForLargeReply(
+        path: String,
+        body: String,
+        timeoutMillis: Long,
+        transferMillis: Long,
+        headers: Map<String, String> = emptyMap(),
+    ): Result<HttpReply, HttpFailure> = post(path, body, timeoutMillis, headers)
+
     /** Gets [path] and waits up to [timeoutMillis] for the complete reply. */
     public suspend fun get(path: String, timeoutMillis: Long, headers: Map<String, String> = emptyMap()): Result<HttpReply, HttpFailure>
 
--- a/runtime/src/main/kotlin/org/buckthornhub/http/RealHttpLink.kt
+++ b/runtime/src/main/kotlin/org/buckthornhub/http/RealHttpLink.kt
@@ -10,7 +10,7 @@
 import io.ktor.client.network.sockets.ConnectTimeoutException
 import io.ktor.client.request.HttpRequestBuilder
 import io.ktor.client.request.header
-import io.ktor.client.request.request
+import io.ktor.client.request.prepareRequest
 import io.ktor.client.request.setBody
 import io.ktor.client.statement.bodyAsBytes
 import io.ktor.http.ContentType
@@ -18,7 +18,10 @@
 import io.ktor.http.contentType
 import io.ktor.util.toMap
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.TimeoutCancellationException
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.flow.MutableStateFlow
@@ -51,15 +54,15 @@
         body: String,
         timeoutMillis: Long,
         headers: Map<String, String>,
-    ): Result<HttpReply, HttpFailure> = send(HttpMethod.Post, path, timeoutMillis, headers) {
-        contentType(ContentType.Application.Json)
-        if (acceptsCompressed.value && body.length >= BodyCompression.MIN_CHARS) {
-            header(BodyCompression.ENCODED, BodyCompression.GZIP)
-            setBody(BodyCompression.compress(body))
-        } else {
-            setBody(body)
-        }
-    }
+    ): Result<HttpReply, HttpFailure> = send(HttpMethod.Post, path, timeoutMillis, headers) { setText(body) }
+
+    override suspend fun postForLargeReply(
+        path: String,
+        body: String,
+        timeoutMillis: Long,
+        transferMillis: Long,
+        headers: Map<String, String>,
+    ): Result<HttpReply, HttpFailure> = send(HttpMethod.Post, path, timeoutMillis, headers, transferMillis) { setText(body) }
 
     override suspend fun post(
         path: String,
@@ -80,15 +83,26 @@
 
     override fun close(): Unit = client.close()
 
+    private fun HttpRequestBuilder.setText(body: String) {
+        contentType(ContentType.Application.Json)
+        if (acceptsCompressed.value && body.length >= BodyCompression.MIN_CHARS) {
+            header(BodyCompression.ENCODED, BodyCompression.GZIP)
+            setBody(BodyCompression.compress(body))
+        } else {
+            setBody(body)
+        }
+    }
+
     @Suppress("TooGenericExceptionCaught") // Last resort: a task waits for the result of each request, so none may be missing.
     private suspend fun send(
         method: HttpMethod,
         path: String,
         timeoutMillis: Long,
         headers: Map<String, String>,
+        transferMillis: Long = 0,
         configure: HttpRequestBuilder.() -> Unit,
     ): Result<HttpReply, HttpFailure> = try {
-        withTimeout(timeoutMillis) { Ok(exchange(method, path, headers, configure)) }
+        Ok(withTimeouts(timeoutMillis, transferMillis) { onBegin -> exchange(method, path, headers, onBegin, configure) })
     } catch (e: ConnectException) {
         Err(HttpFailure(sent = false, detail = "no connection to $address"))
     } catch (e: ConnectTimeoutException) {
@@ -110,22 +124,33 @@
         Err(HttpFailure(sent = true, detail = "unexpected error: ${e.message}"))
     }
 
+    // A reply that has begun comes from a peer that is alive, so its size decides how long it may take.
+    private suspend fun withTimeouts(timeoutMillis: Long, transferMillis: Long, exchange: suspend (() -> Unit) -> HttpReply): HttpReply {
+        if (transferMillis == 0L) return withTimeout(timeoutMillis) { exchange {} }
+        return coroutineScope {
+            val begun = CompletableDeferred<Unit>()
+            val reply = async { exchange { begun.complete(Unit) } }
+            withTimeout(timeoutMillis) { begun.await() }
+            withTimeout(transferMillis) { reply.await() }
+        }
+    }
+
     private suspend fun exchange(
         method: HttpMethod,
         path: String,
         headers: Map<String, String>,
+        onBegin: () -> Unit,
         configure: HttpRequestBuilder.() -> Unit,
-    ): HttpReply {
-        val response =
-            client.request("http://$address$path") {
-                this.method = method
-                header(BodyCompression.HEADER, BodyCompression.GZIP)
-                headers.forEach { (name, value) -> header(name, value) }
-                configure()
-            }
+    ): HttpReply = client.prepareRequest("http://$address$path") {
+        this.method = method
+        header(BodyCompression.HEADER, BodyCompression.GZIP)
+        headers.forEach { (name, value) -> header(name, value) }
+        configure()
+    }.execute { response ->
+        onBegin()
         acceptsCompressed.value = response.headers[BodyCompression.HEADER] == BodyCompression.GZIP
         val isCompressed = response.headers[BodyCompression.ENCODED] == BodyCompression.GZIP
-        return HttpReply(
+        HttpReply(
             status = response.status.value,
             body = textOf(if (isCompressed) expand(response.bodyAsBytes()) else response.bodyAsBytes()),
             headers = response.headers.toMap().mapValues { it.value.first() },
