--- a/balancing/src/main/kotlin/org/buckthornhub/overload/OverloadLimits.kt
+++ b/balancing/src/main/kotlin/org/buckthornhub/overload/OverloadLimits.kt
@@ -12,6 +12,9 @@
     val maxConnections: Int,
     val incompleteMillis: Long = INCOMPLETE_MILLIS,
 ) {
+    /** Memory for replies that arrive, in bytes: once complete, a reply is counted twice in the budget, as its text and its bytes. */
+    public val replyBytes: Long get() = budgetBytes / 2
+
     public companion object {
         /** A message of 1 MiB takes 6 s on a link of 1.4 Mbit/s; five of them may share it. In ms. */
         public const val INCOMPLETE_MILLIS: Long = 30_000
