Leave groups that no route table names to their owners

Cause: a failover is started for any group with instances in the directory and without a primary there. Ruled out: the check of entries; the entry is well-formed, and a service may announce itself before its configuration arrives.

Change: the coordinator reviews groups of the committed table alone, and none without a table. An instance of another group takes no address from an instance of a named one, which had shut out our own instances.

--- a/core/src/main/kotlin/org/buckthornhub/coordination/CoordinatorDecider.kt
+++ b/core/src/main/kotlin/org/buckthornhub/coordination/CoordinatorDecider.kt
@@ -23,13 +23,23 @@
         message: CoordinatorMessage,
         nowMillis: Long,
     ): Decision<CoordinatorState, FailoverEffect> = when (message) {
-        is CoordinatorMessage.Announced -> review(withDirectory(state, state.directory.with(message.record)), nowMillis)
+        is CoordinatorMessage.Announced -> review(withRecord(state, message.record), nowMillis)
         is CoordinatorMessage.Ended -> review(withDirectory(state, state.directory.without(message.target)), nowMillis)
         is CoordinatorMessage.Reported -> reported(state, message.report, nowMillis)
         is CoordinatorMessage.Failover -> decideFailover(state, message.message, nowMillis)
         is CoordinatorMessage.Tick -> tick(state, message, nowMillis)
     }
 
+    private fun withRecord(state: CoordinatorState, record: InstanceRecord): CoordinatorState =
+        withDirectory(state, accepted(state, state.directory, record))
+
+    // An instance of a group that no table names may belong to somebody else; it takes no address from one of a group that is named.
+    private fun accepted(state: CoordinatorState, directory: InstanceDirectory, record: InstanceRecord): InstanceDirectory {
+        val isForeign = state.groups?.let { record.group !in it } ?: false
+        val isTaken = isForeign && directory.records.values.any { it.address == record.address && it.group in state.groups.orEmpty() }
+        return if (isTaken) directory else directory.with(record)
+    }
+
     // A change of the sequence alone is not passed on to daemons; the directory stores it to discard late announcements.
     private fun withDirectory(state: CoordinatorState, directory: InstanceDirectory): CoordinatorState {
         if (directory === state.directory) return state
@@ -41,7 +51,7 @@
 
     private fun reported(state: CoordinatorState, report: ProxyReport, nowMillis: Long): Decision<CoordinatorState, FailoverEffect> {
         // A new leader learns of instances that cannot reach it, such as a primary that was partitioned together with the last leader.
-        val known = withDirectory(state, report.instances.fold(state.directory) { directory, record -> directory.with(record) })
+        val known = withDirectory(state, report.instances.fold(state.directory) { directory, record -> accepted(state, directory, record) })
         val next = known.copy(
             demand = state.demand.with(report.vm, report.demand, nowMillis),
             unreachable = state.unreachable.put(report.vm, report.unreachable),
@@ -72,6 +82,7 @@
             probed = leading.probed.keys.filter { it !in demand.reports }.fold(leading.probed) { map, vm -> map.remove(vm) },
             designations = message.designations,
             evacuated = message.evacuated,
+            groups = message.groups,
             syncReplicas = message.syncReplicas,
             leases = leading.leases.pruned(nowMillis),
         )
@@ -95,12 +106,18 @@
 
     // An old primary that has not noticed its successor still claims to lead. Instances of an evacuated zone are replaced like those
     // that leave.
-    private fun effectiveRecords(state: CoordinatorState): List<InstanceRecord> = state.directory.records.values.map {
+    private fun effectiveRecords(state: CoordinatorState): List<InstanceRecord> = namedRecords(state).map {
         val isReplaced = it.role == TargetRole.PRIMARY && !state.designations.allows(it.group, it.target)
         val isLeaving = it.isLeaving || it.zone in state.evacuated
         if (isReplaced || isLeaving) it.copy(role = if (isReplaced) TargetRole.REPLICA else it.role, isLeaving = isLeaving) else it
     }
 
+    // Nobody has asked for a failover of a group that no table names.
+    private fun namedRecords(state: CoordinatorState): Collection<InstanceRecord> {
+        val groups = state.groups ?: return state.directory.records.values
+        return state.directory.records.values.filter { it.group in groups }
+    }
+
     // A new leader does not know the daemons to which an earlier one gave leases, so it waits until those have expired.
     private fun fencedRevision(state: CoordinatorState, sinceMillis: Long, nowMillis: Long): Long =
         if (nowMillis - sinceMillis <= PrimaryLeases.LEASE_MILLIS) 0 else state.leases.obeyedRevision(nowMillis) ?: Long.MAX_VALUE
--- a/core/src/main/kotlin/org/buckthornhub/coordination/CoordinatorMessage.kt
+++ b/core/src/main/kotlin/org/buckthornhub/coordination/CoordinatorMessage.kt
@@ -27,6 +27,7 @@
      * @property isLeader whether this VM leads the control quorum
      * @property designations primaries that the control quorum has designated
      * @property evacuated availability zones whose instances may not lead
+     * @property groups groups that the route table names; null if there is no table that could name them
      * @property syncReplicas number of replicas that have received each acknowledged commit, by group
      */
     public data class Tick(
@@ -34,5 +35,6 @@
         val designations: PrimaryDesignations = PrimaryDesignations(),
         val evacuated: Set<ZoneId> = emptySet(),
         val syncReplicas: Map<GroupId, Int> = emptyMap(),
+        val groups: Set<GroupId>? = null,
     ) : CoordinatorMessage
 }
--- a/core/src/main/kotlin/org/buckthornhub/coordination/CoordinatorState.kt
+++ b/core/src/main/kotlin/org/buckthornhub/coordination/CoordinatorState.kt
@@ -22,6 +22,7 @@
  * @property proxies number of daemons that serve sessions, as counted by an earlier leader; 0 if not known
  * @property designations primaries that the control quorum has designated
  * @property evacuated availability zones whose instances may not lead
+ * @property groups groups that the route table names; null if there is no table that could name them
  * @property syncReplicas number of replicas that have received each acknowledged commit, by group
  * @property leases leases of the daemons for the use of primaries
  * @property leadingSinceMillis local time at which this VM became the leader; null if it does not lead
@@ -36,6 +37,7 @@
     val proxies: Int = 0,
     val designations: PrimaryDesignations = PrimaryDesignations(),
     val evacuated: Set<ZoneId> = emptySet(),
+    val groups: Set<GroupId>? = null,
     val syncReplicas: Map<GroupId, Int> = emptyMap(),
     val leases: PrimaryLeases = PrimaryLeases(),
     val failover: FailoverState = FailoverState(),
--- a/daemon/src/main/kotlin/org/buckthornhub/coordination/CoordinatorTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/coordination/CoordinatorTask.kt
@@ -12,6 +12,7 @@
 import org.buckthornhub.control.CommandOutcome
 import org.buckthornhub.control.ControlCommand
 import org.buckthornhub.control.ControlLog
+import org.buckthornhub.control.ControlState
 import org.buckthornhub.control.Evacuations
 import org.buckthornhub.directory.InstanceRecord
 import org.buckthornhub.directory.InstanceRecordCheck
@@ -62,8 +63,7 @@
             var known = Evacuations()
             while (true) {
                 val state = control.state.current()
-                val isLeader = control.leadership.current().isLeader
-                offer(CoordinatorMessage.Tick(isLeader, state.designations, state.evacuations.zones, syncReplicas.of(state.routeTable)))
+                offer(tick(state))
                 if (state.evacuations != known) {
                     known = state.evacuations
                     logger.info { "evacuated zones are ${known.zones}, change ${known.revision}" }
@@ -73,6 +73,14 @@
         }
     }
 
+    private fun tick(state: ControlState) = CoordinatorMessage.Tick(
+        control.leadership.current().isLeader,
+        state.designations,
+        state.evacuations.zones,
+        syncReplicas.of(state.routeTable),
+        state.routeTable?.table?.groups?.keys ?: emptySet(),
+    )
+
     override suspend fun handle(message: CoordinatorMessage) {
         super.handle(withoutInvalid(message) ?: return)
         latest.value = current()
