Number the rounds in which replicas are asked for their positions

A late answer to an earlier round with the same term was taken for one of this round, though the replica may have been resumed in between and have received less than others since.

--- a/core/src/main/kotlin/org/buckthornhub/failover/FailoverEffect.kt
+++ b/core/src/main/kotlin/org/buckthornhub/failover/FailoverEffect.kt
@@ -16,11 +16,13 @@
      * Requests the status of [target], where a replica has received each acknowledged commit; the answer arrives as
      * [FailoverMessage.HolderAnswered].
      *
+     * @property round number of the round of questions, which the answer returns
      * @property pauseIn term for which the replica first stops receiving commits; null if it goes on
      */
     public data class SurveyHolder(
         val group: GroupId,
         val target: TargetId,
+        val round: Long,
         val pauseIn: Term? = null,
     ) : FailoverEffect
 
--- a/core/src/main/kotlin/org/buckthornhub/failover/FailoverMessage.kt
+++ b/core/src/main/kotlin/org/buckthornhub/failover/FailoverMessage.kt
@@ -3,7 +3,6 @@
 import org.buckthornhub.directory.InstanceRecord
 import org.buckthornhub.group.GroupId
 import org.buckthornhub.group.PrimaryDesignations
-import org.buckthornhub.group.Term
 import org.buckthornhub.target.TargetId
 
 /** Messages handled by [FailoverDecider]. */
@@ -34,11 +33,11 @@
         val status: InstanceStatus?,
     ) : FailoverMessage
 
-    /** Answer of [target] to [FailoverEffect.SurveyHolder] with [pauseIn]; [status] is null if it gave none in time. */
+    /** Answer of [target] to [FailoverEffect.SurveyHolder] of [round]; [status] is null if it gave none in time. */
     public data class HolderAnswered(
         val group: GroupId,
         val target: TargetId,
-        val pauseIn: Term?,
+        val round: Long,
         val status: InstanceStatus?,
     ) : FailoverMessage
 
--- a/core/src/main/kotlin/org/buckthornhub/failover/FailoverPhase.kt
+++ b/core/src/main/kotlin/org/buckthornhub/failover/FailoverPhase.kt
@@ -32,6 +32,7 @@
      * The first round finds out whether enough of them answer. The second one, in which they receive no more commits, decides:
      * without it, the old primary could go on acknowledging commits that the chosen instance lacks.
      *
+     * @property round number of the round; answers to earlier ones say what a replica had received before it was resumed
      * @property pauseIn term for which the holders are paused in the second round; null in the first
      * @property silent holders that gave no answer in this round
      * @property leaving instances that are shutting down
@@ -44,6 +45,7 @@
         val needed: Int,
         val deadlineMillis: Long,
         val reason: String,
+        val round: Long,
         val pauseIn: Term? = null,
         val answers: PersistentMap<TargetId, InstanceStatus> = persistentMapOf(),
         val silent: Set<TargetId> = emptySet(),
--- a/core/src/main/kotlin/org/buckthornhub/failover/SyncFailover.kt
+++ b/core/src/main/kotlin/org/buckthornhub/failover/SyncFailover.kt
@@ -54,13 +54,14 @@
             needed = AcknowledgedCommits.answersNeeded(replicas, message.syncReplicas.getValue(group)),
             deadlineMillis,
             reason,
+            round = state.rounds + 1,
             leaving = leavingOf(records),
             mayPromoteLeaving = primaries.all { it.target in message.unreachable },
             replaced = replaced,
             designation = message.designations.byGroup[group]?.number ?: 0,
         )
         val event = FailoverEffect.LogEvent(group, "survey of $replicas replicas, of which ${phase.needed} have to answer", reason)
-        return Decision(state.with(group, phase), surveyOf(group, phase).toPersistentList<FailoverEffect>().add(event))
+        return Decision(started(state, group, phase), surveyOf(group, phase).toPersistentList<FailoverEffect>().add(event))
     }
 
     fun onReview(
@@ -82,7 +83,7 @@
         message: FailoverMessage.HolderAnswered,
         deadlineMillis: Long,
     ): LocatingStep {
-        if (message.target !in phase.holders || message.pauseIn != phase.pauseIn) return LocatingStep(Decision(state))
+        if (message.target !in phase.holders || message.round != phase.round) return LocatingStep(Decision(state))
         // A primary that still leads says nothing about what replicas have received.
         val status = message.status?.takeIf { it.role == TargetRole.REPLICA }
         val next =
@@ -124,11 +125,20 @@
         deadlineMillis: Long,
     ): Decision<FailoverState, FailoverEffect> {
         val newest = phase.answers.values.maxOf { it.received.term }
-        val next = phase.copy(deadlineMillis = deadlineMillis, pauseIn = newest.next(), answers = persistentMapOf(), silent = emptySet())
+        val next = phase.copy(
+            deadlineMillis = deadlineMillis,
+            round = state.rounds + 1,
+            pauseIn = newest.next(),
+            answers = persistentMapOf(),
+            silent = emptySet(),
+        )
         val paused = phase.holders.fold(state.receiving) { receiving, target -> receiving.remove(target) }
-        return Decision(state.copy(receiving = paused).with(group, next), surveyOf(group, next).toPersistentList())
+        return Decision(started(state.copy(receiving = paused), group, next), surveyOf(group, next).toPersistentList())
     }
 
+    private fun started(state: FailoverState, group: GroupId, phase: FailoverPhase.Locating): FailoverState =
+        state.copy(rounds = phase.round).with(group, phase)
+
     private fun choose(state: FailoverState, phase: FailoverPhase.Locating): PromotionChoice? {
         val target = AcknowledgedCommits.holdersOfAll(phase.answers, phase.needed)
             .filter { it !in state.excluded && (phase.mayPromoteLeaving || it !in phase.leaving) }
@@ -153,7 +163,7 @@
     }
 
     private fun surveyOf(group: GroupId, phase: FailoverPhase.Locating): List<FailoverEffect> =
-        phase.holders.map { FailoverEffect.SurveyHolder(group, it, phase.pauseIn) }
+        phase.holders.map { FailoverEffect.SurveyHolder(group, it, phase.round, phase.pauseIn) }
 
     private fun leavingOf(records: List<InstanceRecord>): Set<TargetId> = records.filter { it.isLeaving }.map { it.target }.toSet()
 }
--- a/core/src/test/kotlin/org/buckthornhub/failover/SyncFailoverTest.kt
+++ b/core/src/test/kotlin/org/buckthornhub/failover/SyncFailoverTest.kt
@@ -46,6 +46,18 @@
         assertEquals(listOf(near.target), effects.filterIsInstance<FailoverEffect.Resume>().map { it.target })
     }
 
+    @Test
+    fun `an answer to an earlier round counts for nothing`() {
+        val case = SyncFailoverCase("", listOf(leader, near, far), mapOf("near" to received(7), "far" to busy(5)), promoted = null)
+        for (now in 0L..4_000L step 100) handle(review(case.records, setOf(leader.target), 1), now, case)
+        val asked = effects.filterIsInstance<FailoverEffect.SurveyHolder>().filter { it.target == far.target }
+        assertEquals(asked.size, asked.map { it.round }.distinct().size)
+        for (round in asked.map { it.round }.dropLast(1)) {
+            handle(FailoverMessage.HolderAnswered(group, far.target, round, received(5)), 4_000, case)
+        }
+        assertTrue(effects.none { it is FailoverEffect.Promote })
+    }
+
     private fun handle(message: FailoverMessage, nowMillis: Long, case: SyncFailoverCase) {
         val decision = decider.decide(state, message, nowMillis)
         state = decision.state
@@ -55,7 +67,7 @@
 
     private fun answerTo(effect: FailoverEffect, case: SyncFailoverCase): FailoverMessage? = when (effect) {
         is FailoverEffect.SurveyHolder ->
-            FailoverMessage.HolderAnswered(effect.group, effect.target, effect.pauseIn, case.answers[effect.target.value])
+            FailoverMessage.HolderAnswered(effect.group, effect.target, effect.round, case.answers[effect.target.value])
         is FailoverEffect.Survey -> FailoverMessage.Surveyed(effect.group, effect.target, case.answers[effect.target.value])
         is FailoverEffect.Promote -> {
             val outcome = if (effect.target.value in case.refused) PromotionOutcome.REFUSED else PromotionOutcome.DONE
--- a/core/src/test/kotlin/org/buckthornhub/failover/SyncGroupSimulation.kt
+++ b/core/src/test/kotlin/org/buckthornhub/failover/SyncGroupSimulation.kt
@@ -78,7 +78,7 @@
             is FailoverEffect.SurveyHolder -> later(now, MAX_DELAY_MILLIS) { arrival ->
                 val status = answerOf(effect)
                 later(arrival, MAX_DELAY_MILLIS) {
-                    handle(FailoverMessage.HolderAnswered(effect.group, effect.target, effect.pauseIn, status), it)
+                    handle(FailoverMessage.HolderAnswered(effect.group, effect.target, effect.round, status), it)
                 }
             }
             is FailoverEffect.Survey -> later(now, MAX_DELAY_MILLIS) { arrival ->
--- a/daemon/src/main/kotlin/org/buckthornhub/coordination/CoordinatorTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/coordination/CoordinatorTask.kt
@@ -123,7 +123,7 @@
         // A leader that was replaced without noticing must not pause anything.
         val mayAsk = effect.pauseIn == null || control.confirmLeadership().isOk
         val status = if (mayAsk) record?.let { replicas?.pause(it, effect.pauseIn, SURVEY_TIMEOUT_MILLIS) } else null
-        offer(FailoverMessage.HolderAnswered(effect.group, effect.target, effect.pauseIn, status))
+        offer(FailoverMessage.HolderAnswered(effect.group, effect.target, effect.round, status))
     }
 
     private suspend fun resume(effect: FailoverEffect.Resume) {
