--- a/daemon/src/test/kotlin/org/buckthornhub/limit/FakeControlLog.kt
+++ b/daemon/src/test/kotlin/org/buckthornhub/limit/FakeControlLog.kt
@@ -16,7 +16,7 @@
 import org.buckthornhub.routetable.RouteTable
 import org.buckthornhub.routetable.StoredRouteTable
 
-/** Fake control log whose leader is this VM, with a table that names the group `g`; it confirms the leadership while [hasMajority] is true. */
+/** Fake control log whose leader is this VM, with a table that names the group `g`; it confirms that while [hasMajority] is true. */
 internal class FakeControlLog : ControlLog {
     var hasMajority = true
     var term = 1L
