Name known addresses and invalid texts for what they are

Read as a newcomer: "seats" is no term of the field for addresses at which a group has had instances, and noText was taken for a missing text.

--- a/core/src/main/kotlin/org/buckthornhub/failover/FailoverDecider.kt
+++ b/core/src/main/kotlin/org/buckthornhub/failover/FailoverDecider.kt
@@ -30,8 +30,8 @@
         message.records.groupBy { it.group }.entries.fold(Decision(state)) { decision, (group, records) ->
             decision.then {
                 val tracked = trackPrimary(it, group, records, message, nowMillis)
-                val seated = SyncFailover.trackSeats(tracked, group, records, message, nowMillis)
-                reviewGroup(seated, group, records, message, nowMillis)
+                val withAddresses = SyncFailover.trackAddresses(tracked, group, records, message, nowMillis)
+                reviewGroup(withAddresses, group, records, message, nowMillis)
             }
         }
 
--- a/core/src/main/kotlin/org/buckthornhub/failover/FailoverState.kt
+++ b/core/src/main/kotlin/org/buckthornhub/failover/FailoverState.kt
@@ -14,7 +14,7 @@
  * @property groupsSeenWithPrimary groups that have had a primary in the directory
  * @property withoutPrimarySince time from which each group has had no primary in the directory (local monotonic ms)
  * @property excluded instances that refused a promotion order; not surveyed until a promotion succeeds or no other candidate is left
- * @property seats addresses at which each group with synchronous replicas has had instances
+ * @property addresses addresses at which each group with synchronous replicas has had instances
  * @property rounds number of rounds in which replicas were asked for their positions
  * @property receiving replicas that are known not to be paused by a failover, of this leader or an earlier one
  * @property orderCounts number of instances that this leader has ordered to lead each group; a missing group has none
@@ -25,7 +25,7 @@
     val withoutPrimarySince: PersistentMap<GroupId, Long> = persistentMapOf(),
     val excluded: PersistentSet<TargetId> = persistentSetOf(),
     val orderCounts: PersistentMap<GroupId, Int> = persistentMapOf(),
-    val seats: PersistentMap<GroupId, GroupSeats> = persistentMapOf(),
+    val addresses: PersistentMap<GroupId, KnownAddresses> = persistentMapOf(),
     val rounds: Long = 0,
     val receiving: PersistentSet<TargetId> = persistentSetOf(),
 ) {
--- a/core/src/main/kotlin/org/buckthornhub/failover/GroupSeats.kt
+++ b/core/src/main/kotlin/org/buckthornhub/failover/KnownAddresses.kt
@@ -11,18 +11,18 @@
  * @property occupied addresses of the instances in the directory
  * @property vacantSinceMillis time from which each of the other addresses has had no instance (local monotonic ms)
  */
-public data class GroupSeats(
+public data class KnownAddresses(
     val occupied: Set<String> = emptySet(),
     val vacantSinceMillis: PersistentMap<String, Long> = persistentMapOf(),
 ) {
     /** Updates the addresses from [all] instances in the directory, of which [own] belong to the group. */
-    internal fun with(own: List<InstanceRecord>, all: Collection<InstanceRecord>, nowMillis: Long): GroupSeats {
+    internal fun with(own: List<InstanceRecord>, all: Collection<InstanceRecord>, nowMillis: Long): KnownAddresses {
         val current = own.map { it.address }.toSet()
         if (current == occupied && vacantSinceMillis.isEmpty()) return this
         val vacated = (occupied - current).fold(vacantSinceMillis) { vacant, address -> vacant.put(address, nowMillis) }
         val inUse = all.map { it.address }.toSet()
         val ended = vacated.filter { (address, sinceMillis) -> address in inUse || nowMillis - sinceMillis > VACANT_MILLIS }.keys
-        return GroupSeats(current, ended.fold(vacated) { vacant, address -> vacant.remove(address) })
+        return KnownAddresses(current, ended.fold(vacated) { vacant, address -> vacant.remove(address) })
     }
 
     private companion object {
--- a/core/src/main/kotlin/org/buckthornhub/failover/SyncFailover.kt
+++ b/core/src/main/kotlin/org/buckthornhub/failover/SyncFailover.kt
@@ -20,7 +20,7 @@
  */
 internal object SyncFailover {
     /** Remembers the addresses of [group], if it has synchronous replicas. */
-    fun trackSeats(
+    fun trackAddresses(
         state: FailoverState,
         group: GroupId,
         records: List<InstanceRecord>,
@@ -28,9 +28,9 @@
         nowMillis: Long,
     ): FailoverState {
         if ((message.syncReplicas[group] ?: 0) == 0) return state
-        val known = state.seats[group] ?: GroupSeats()
-        val seats = known.with(records, message.records, nowMillis)
-        return if (seats === known) state else state.copy(seats = state.seats.put(group, seats))
+        val known = state.addresses[group] ?: KnownAddresses()
+        val addresses = known.with(records, message.records, nowMillis)
+        return if (addresses === known) state else state.copy(addresses = state.addresses.put(group, addresses))
     }
 
     /** Asks the replicas of [group] for their positions. */
@@ -48,7 +48,7 @@
         if (holders.isEmpty()) return Decision(state)
         // Of several instances that claim to lead, at most one does, and which one is not known.
         val known = if (primaries.size > 1) holders.size - 1 else holders.size
-        val replicas = known + (state.seats[group]?.vacantSinceMillis?.size ?: 0)
+        val replicas = known + (state.addresses[group]?.vacantSinceMillis?.size ?: 0)
         val phase = FailoverPhase.Locating(
             holders,
             needed = AcknowledgedCommits.answersNeeded(replicas, message.syncReplicas.getValue(group)),
--- a/daemon/src/test/kotlin/org/buckthornhub/http/NoTextCase.kt
+++ b/daemon/src/test/kotlin/org/buckthornhub/http/InvalidTextCase.kt
@@ -6,7 +6,7 @@
  * @property body body of a request or reply, a character for each byte
  * @property isText whether a handler may see them, as text
  */
-internal data class NoTextCase(
+internal data class InvalidTextCase(
     val name: String,
     val body: String,
     val isText: Boolean,
--- a/runtime/src/main/kotlin/org/buckthornhub/http/HttpServer.kt
+++ b/runtime/src/main/kotlin/org/buckthornhub/http/HttpServer.kt
@@ -34,7 +34,7 @@
  * @param otherPorts additional ports on [host] that serve the same routes
  * @param maxBodyBytes limit on request bodies; a larger one gets [tooLarge], by default with status 413
  * @param guard limits what the connections hold; null for a server that only trusted peers reach
- * @param noText reply to a request whose path or body is no Unicode text in UTF-8
+ * @param invalidText reply to a request whose path or body is no Unicode text in UTF-8
  * @param onFault reply if a handler throws; it contains no stack trace
  */
 public class HttpServer(
@@ -44,7 +44,7 @@
     private val maxBodyBytes: Long = DEFAULT_MAX_BODY_BYTES,
     private val tooLarge: HttpReply = HttpReply(PAYLOAD_TOO_LARGE, "{}"),
     private val onFault: HttpReply = HttpReply(SERVER_ERROR, "{}"),
-    private val noText: HttpReply = HttpReply(BAD_REQUEST, "{}"),
+    private val invalidText: HttpReply = HttpReply(BAD_REQUEST, "{}"),
     otherPorts: List<Int> = emptyList(),
     guard: ConnectionGuard? = null,
 ) {
@@ -119,7 +119,7 @@
         val body = UnicodeText.decode(bytes)?.takeIf { UnicodeText.hasOnlyCharacters(it) }
         if (body != null && UnicodeText.isUri(call.request.uri)) return handler.handle(requestOf(call, body))
         logger.info { "a request to ${call.request.path()} was rejected, as its path or body is no Unicode text in UTF-8" }
-        return noText
+        return invalidText
     }
 
     private fun requestOf(call: ApplicationCall, body: String): HttpRequest = HttpRequest(
