Give the budget of a document back when its caller leaves while it waits

An operator who closes the connection before the budget answers left its document counted for as long as the process lives; after one of the largest size, each further large configuration would have got 503 from that control VM. Cause: the cancelled caller no longer waits, but its answer is not cancelled with it, so that the task still counts the document.

The caller now completes the answer itself, and the task counts only what it answers first; what it has counted by then is released. Found while the change was read again. DocumentBudgetTest: the row of a caller that leaves before the answer failed before.

--- a/daemon/src/main/kotlin/org/buckthornhub/control/DocumentBudgetTask.kt
+++ b/daemon/src/main/kotlin/org/buckthornhub/control/DocumentBudgetTask.kt
@@ -1,6 +1,9 @@
 package org.buckthornhub.control
 
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.withContext
 import org.buckthornhub.task.Task
 
 /**
@@ -14,8 +17,7 @@
 
     /** Runs [action] for a document of [chars] while it is counted; returns null, without running it, if there is no room. */
     suspend fun <T : Any> within(chars: Int, action: suspend () -> T): T? {
-        val answer = CompletableDeferred<Boolean>()
-        if (!offer(DocumentBudgetMessage.Admit(chars, answer)) || !answer.await()) return null
+        if (!admit(chars)) return null
         return try {
             action()
         } finally {
@@ -23,10 +25,23 @@
         }
     }
 
+    private suspend fun admit(chars: Int): Boolean {
+        val answer = CompletableDeferred<Boolean>()
+        if (!offer(DocumentBudgetMessage.Admit(chars, answer))) return false
+        try {
+            return answer.await()
+        } catch (e: CancellationException) {
+            // The task counts only what it answers first; what it has counted by then is released here.
+            val isCounted = !answer.complete(false) && withContext(NonCancellable) { answer.await() }
+            if (isCounted) offer(DocumentBudgetMessage.Release(chars))
+            throw e
+        }
+    }
+
     override suspend fun handle(message: DocumentBudgetMessage): Unit = when (message) {
         is DocumentBudgetMessage.Admit -> {
             val isAdmitted = admittedChars == 0L || admittedChars + message.chars <= budgetChars
-            // The caller may have been cancelled while it waited; then nobody releases the document.
+            // A caller that was cancelled while it waited has completed the answer itself, and releases nothing.
             if (message.answer.complete(isAdmitted) && isAdmitted) admittedChars += message.chars else Unit
         }
         is DocumentBudgetMessage.Release -> admittedChars -= message.chars
--- a/daemon/src/test/kotlin/org/buckthornhub/control/DocumentBudgetTest.kt
+++ b/daemon/src/test/kotlin/org/buckthornhub/control/DocumentBudgetTest.kt
@@ -1,6 +1,7 @@
 package org.buckthornhub.control
 
 import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.launch
@@ -25,6 +26,19 @@
         assertEquals(Unit, budget.within(chars) {}, "the budget is free again")
     }
 
+    @ParameterizedTest(name = "answered before the caller is cancelled: {0}")
+    @CsvSource("false", "true")
+    fun `a document whose caller has gone while it waited is not counted`(isAnswered: Boolean) = runTest {
+        val budget = DocumentBudgetTask(budgetChars = 100)
+        val caller = launch(start = CoroutineStart.UNDISPATCHED) { budget.within(100) { CompletableDeferred<Unit>().await() } }
+        if (!isAnswered) caller.cancel()
+        budget.start(backgroundScope)
+        runCurrent()
+        caller.cancel()
+        runCurrent()
+        assertEquals(Unit, budget.within(100) {})
+    }
+
     @Test
     fun `a document whose caller has gone is no longer counted`() = runTest {
         val budget = DocumentBudgetTask(budgetChars = 100).apply { start(backgroundScope) }
